--- /dev/null
+++ b/src/main/java/org/azureshed/control/ActivePreset.java
@@ -0,0 +1,12 @@
+package org.azureshed.control;
+
+import org.azureshed.model.Preset;
+
+/**
+ * The preset in force.
+ *
+ * @param number activation number; a node never applies a lower one than before
+ * @param preset the preset
+ * @param reason the operator's reason
+ */
+public record ActivePreset(long number, Preset preset, String reason) {}
--- /dev/null
+++ b/src/main/java/org/azureshed/control/ControlEvent.java
@@ -0,0 +1,67 @@
+package org.azureshed.control;
+
+import java.util.List;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetId;
+import org.azureshed.model.TargetInfo;
+
+/** Something that happened, as input of the reducer. */
+public sealed interface ControlEvent {
+    /**
+     * Time passed.
+     *
+     * @param nowMillis the node's monotonic clock in milliseconds
+     */
+    record Tick(long nowMillis) implements ControlEvent {}
+
+    /**
+     * A target on this VM announced itself or repeated its announcement.
+     *
+     * @param target what it announced
+     */
+    record TargetAnnounced(TargetInfo target) implements ControlEvent {}
+
+    /**
+     * A target on this VM withdrew its announcement.
+     *
+     * @param target the target
+     */
+    record TargetWithdrawn(TargetId target) implements ControlEvent {}
+
+    /**
+     * All records of nodes were read from the platform.
+     *
+     * @param nodes the records
+     */
+    record NodesListed(List<NodeInfo> nodes) implements ControlEvent {
+        /** Copies the list. */
+        public NodesListed {
+            nodes = List.copyOf(nodes);
+        }
+    }
+
+    /**
+     * A record of a node was received.
+     *
+     * @param node the record
+     */
+    record NodeSeen(NodeInfo node) implements ControlEvent {}
+
+    /**
+     * The record of a node was deleted from the platform.
+     *
+     * @param node the node
+     */
+    record NodeDeleted(NodeId node) implements ControlEvent {}
+
+    /**
+     * A preset in force was read from the platform or from a peer.
+     *
+     * @param active the preset
+     */
+    record PresetReceived(ActivePreset active) implements ControlEvent {}
+
+    /** The process was asked to stop. */
+    record StopRequested() implements ControlEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/control/ControlLoop.java
@@ -0,0 +1,101 @@
+package org.azureshed.control;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.azureshed.telemetry.EventLog;
+
+/**
+ * The one thread that reduces control events.
+ *
+ * <p>Events are queued by any thread. Effects are handed to the handler on the control thread; a
+ * handler that does input or output has to pass it on to another thread.
+ */
+public final class ControlLoop {
+    private static final long TICK_MILLIS = 200;
+
+    private final BlockingQueue<ControlEvent> queue = new LinkedBlockingQueue<>();
+    private final ControlReducer reducer;
+    private final Consumer<Effect> effectHandler;
+    private final Thread thread;
+    private volatile Snapshot snapshot;
+    private volatile boolean stopped;
+    private ControlState state;
+
+    /**
+     * Creates a loop that is not running yet.
+     *
+     * @param reducer computes the steps
+     * @param initial the first state
+     * @param effectHandler carries out effects other than snapshots
+     */
+    public ControlLoop(
+            ControlReducer reducer, ControlState initial, Consumer<Effect> effectHandler) {
+        this.reducer = reducer;
+        this.effectHandler = effectHandler;
+        this.state = initial;
+        this.snapshot = initial.snapshot();
+        this.thread = new Thread(this::run, "control");
+        this.thread.setDaemon(true);
+    }
+
+    /** Starts the control thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Stops the control thread after the event that it is reducing. */
+    public void stop() {
+        stopped = true;
+        thread.interrupt();
+    }
+
+    /**
+     * Queues an event.
+     *
+     * @param event the event
+     */
+    public void submit(ControlEvent event) {
+        queue.add(event);
+    }
+
+    /**
+     * The view that was published last.
+     *
+     * @return an immutable view
+     */
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    private void run() {
+        while (!stopped) {
+            try {
+                ControlEvent event = queue.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+                reduce(event != null ? event : new ControlEvent.Tick(nowMillis()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                EventLog.warning("control_event_failed").with("error", e).write();
+            }
+        }
+    }
+
+    private void reduce(ControlEvent event) {
+        Step<ControlState, Effect> step = reducer.reduce(state, event);
+        state = step.state();
+        for (Effect effect : step.effects()) {
+            if (effect instanceof Effect.PublishSnapshot(Snapshot published)) {
+                snapshot = published;
+            } else {
+                effectHandler.accept(effect);
+            }
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -0,0 +1,118 @@
+package org.azureshed.control;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import java.util.ArrayList;
+import java.util.List;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetInfo;
+
+/**
+ * Computes the next control state and the effects of one event. It reads no clock and does no input
+ * or output.
+ */
+public final class ControlReducer {
+    /**
+     * Reduces one event.
+     *
+     * @param state the state before the event
+     * @param event the event
+     * @return the state after it and what has to be carried out
+     */
+    public Step<ControlState, Effect> reduce(ControlState state, ControlEvent event) {
+        return switch (event) {
+            case ControlEvent.Tick(long now) -> Step.of(state.withNow(now));
+            case ControlEvent.TargetAnnounced(TargetInfo target) -> announce(state, target);
+            case ControlEvent.TargetWithdrawn(var id) ->
+                    changeTargets(state, without(state.self().targets(), id));
+            case ControlEvent.NodesListed(var nodes) -> listed(state, nodes);
+            case ControlEvent.NodeSeen(NodeInfo node) -> seen(state, node);
+            case ControlEvent.NodeDeleted(NodeId id) -> deleted(state, id);
+            case ControlEvent.PresetReceived(ActivePreset active) -> activate(state, active);
+            case ControlEvent.StopRequested() -> stop(state);
+        };
+    }
+
+    private static Step<ControlState, Effect> announce(ControlState state, TargetInfo target) {
+        if (state.self().targets().contains(target)) {
+            return Step.of(state);
+        }
+        List<TargetInfo> targets = without(state.self().targets(), target.id());
+        targets.add(target);
+        return changeTargets(state, targets);
+    }
+
+    private static List<TargetInfo> without(
+            List<TargetInfo> targets, org.azureshed.model.TargetId id) {
+        List<TargetInfo> rest = new ArrayList<>(targets);
+        rest.removeIf(target -> target.id().equals(id));
+        return rest;
+    }
+
+    private static Step<ControlState, Effect> changeTargets(
+            ControlState state, List<TargetInfo> targets) {
+        if (targets.equals(state.self().targets())) {
+            return Step.of(state);
+        }
+        return changeSelf(state, state.self().withTargets(targets));
+    }
+
+    private static Step<ControlState, Effect> changeSelf(ControlState state, NodeInfo self) {
+        ControlState next = state.withSelf(self);
+        return new Step<>(
+                next,
+                List.of(new Effect.PublishSnapshot(next.snapshot()), new Effect.PublishSelf(self)));
+    }
+
+    private static Step<ControlState, Effect> listed(ControlState state, List<NodeInfo> nodes) {
+        Map<NodeId, NodeInfo> merged = HashMap.empty();
+        for (NodeInfo node : nodes) {
+            if (!node.id().equals(state.self().id())) {
+                NodeInfo known = state.nodes().getOrElse(node.id(), node);
+                merged = merged.put(node.id(), known.supersedes(node) ? known : node);
+            }
+        }
+        return publish(state.withNodes(merged));
+    }
+
+    private static Step<ControlState, Effect> seen(ControlState state, NodeInfo node) {
+        boolean own = node.id().equals(state.self().id());
+        boolean stale = state.nodes().get(node.id()).exists(known -> !node.supersedes(known));
+        if (own || stale) {
+            return Step.of(state);
+        }
+        return publish(state.withNodes(state.nodes().put(node.id(), node)));
+    }
+
+    private static Step<ControlState, Effect> deleted(ControlState state, NodeId id) {
+        if (!state.nodes().containsKey(id)) {
+            return Step.of(state);
+        }
+        return publish(state.withNodes(state.nodes().remove(id)));
+    }
+
+    private static Step<ControlState, Effect> activate(ControlState state, ActivePreset active) {
+        long current = state.active().map(ActivePreset::number).orElse(0L);
+        if (active.number() <= current) {
+            return Step.of(state);
+        }
+        ControlState next = state.withActive(active);
+        return new Step<>(
+                next,
+                List.of(
+                        new Effect.PublishSnapshot(next.snapshot()),
+                        new Effect.PresetInForce(active)));
+    }
+
+    private static Step<ControlState, Effect> stop(ControlState state) {
+        if (state.self().draining()) {
+            return Step.of(state);
+        }
+        return changeSelf(state, state.self().asDraining());
+    }
+
+    private static Step<ControlState, Effect> publish(ControlState next) {
+        return new Step<>(next, List.of(new Effect.PublishSnapshot(next.snapshot())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -0,0 +1,79 @@
+package org.azureshed.control;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.routing.Candidate;
+import org.azureshed.routing.RouteTable;
+
+/**
+ * State owned by the control thread.
+ *
+ * @param self this node's own record
+ * @param nodes records of the other nodes
+ * @param active the preset in force, or empty before the first one is known
+ * @param routes route table of the preset in force
+ * @param nowMillis time of the last tick
+ */
+public record ControlState(
+        NodeInfo self,
+        Map<NodeId, NodeInfo> nodes,
+        Optional<ActivePreset> active,
+        RouteTable routes,
+        long nowMillis) {
+    /**
+     * State of a node that has just started.
+     *
+     * @param self its own record
+     * @return the state
+     */
+    public static ControlState initial(NodeInfo self) {
+        return new ControlState(
+                self, HashMap.empty(), Optional.empty(), RouteTable.of(List.of()), 0);
+    }
+
+    ControlState withSelf(NodeInfo newSelf) {
+        return new ControlState(newSelf, nodes, active, routes, nowMillis);
+    }
+
+    ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
+        return new ControlState(self, newNodes, active, routes, nowMillis);
+    }
+
+    ControlState withActive(ActivePreset newActive) {
+        return new ControlState(
+                self,
+                nodes,
+                Optional.of(newActive),
+                RouteTable.of(newActive.preset().routes()),
+                nowMillis);
+    }
+
+    ControlState withNow(long newNowMillis) {
+        return new ControlState(self, nodes, active, routes, newNowMillis);
+    }
+
+    Snapshot snapshot() {
+        java.util.Map<String, List<Candidate>> candidates = new java.util.HashMap<>();
+        addCandidates(self, candidates);
+        for (NodeInfo node : nodes.values()) {
+            addCandidates(node, candidates);
+        }
+        candidates.replaceAll((service, list) -> List.copyOf(list));
+        return new Snapshot(self, active, routes, java.util.Map.copyOf(candidates));
+    }
+
+    private static void addCandidates(
+            NodeInfo node, java.util.Map<String, List<Candidate>> candidates) {
+        for (TargetInfo target : node.targets()) {
+            candidates
+                    .computeIfAbsent(target.service(), service -> new ArrayList<>())
+                    .add(new Candidate(node, target));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/control/Effect.java
@@ -0,0 +1,27 @@
+package org.azureshed.control;
+
+import org.azureshed.model.NodeInfo;
+
+/** Something that the shell has to carry out for the reducer. */
+public sealed interface Effect {
+    /**
+     * Writes this node's record to the platform.
+     *
+     * @param self the record
+     */
+    record PublishSelf(NodeInfo self) implements Effect {}
+
+    /**
+     * Replaces the view that traffic threads read.
+     *
+     * @param snapshot the new view
+     */
+    record PublishSnapshot(Snapshot snapshot) implements Effect {}
+
+    /**
+     * Writes a log line about the preset in force.
+     *
+     * @param active the preset that came into force
+     */
+    record PresetInForce(ActivePreset active) implements Effect {}
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/model/Endpoint.java
@@ -0,0 +1,40 @@
+package org.azureshed.model;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * A TCP address.
+ *
+ * @param host IP number or host name
+ * @param port TCP port, 1 to 65535
+ */
+public record Endpoint(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks host and port. */
+    public Endpoint {
+        checkArgument(!host.isBlank(), "host of an endpoint is empty");
+        checkArgument(port > 0 && port <= MAX_PORT, "port %s is outside 1 to 65535", port);
+    }
+
+    /**
+     * Parses {@code host:port}.
+     *
+     * @param text for example {@code 10.0.0.7:8080}
+     * @return the endpoint
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        checkArgument(colon > 0, "endpoint \"%s\" is not of the form host:port", text);
+        String port = text.substring(colon + 1);
+        checkArgument(
+                port.matches("\\d{1,5}"), "port of endpoint \"%s\" is not a whole number", text);
+        return new Endpoint(text.substring(0, colon), Integer.parseInt(port));
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/routing/Candidate.java
@@ -0,0 +1,22 @@
+package org.azureshed.routing;
+
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.model.TargetState;
+
+/**
+ * A target and the node that hosts it.
+ *
+ * @param node the node
+ * @param target the target
+ */
+public record Candidate(NodeInfo node, TargetInfo target) {
+    /**
+     * Whether the target accepts new requests according to its announcement.
+     *
+     * @return true if it is ready and neither it nor its node is draining
+     */
+    public boolean ready() {
+        return target.state() == TargetState.READY && !node.draining();
+    }
+}
