Add the thin request path from entry side to target

Cause: no process existed yet. Change: node process on Dropwizard and Guice with entry and host handlers, admin API, control loop, publication of the own record and a watch of the other nodes; sample target; launcher. Before: nothing.

--- /dev/null
+++ b/src/main/java/org/azureshed/cli/NodeCommand.java
@@ -0,0 +1,68 @@
+package org.azureshed.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.net.URI;
+import java.util.concurrent.Callable;
+import org.azureshed.model.NodeId;
+import org.azureshed.node.NodeApplication;
+import org.azureshed.node.NodeSettings;
+
+/** Runs the process that stands beside each target. */
+@Command(name = "node", description = "Runs one node of the fleet")
+public final class NodeCommand implements Callable<Integer> {
+    @Required
+    @Option(name = "--node-id", description = "name of the node, unique in the fleet")
+    private String nodeId;
+
+    @Required
+    @Option(name = "--region", description = "region of the VM")
+    private String region;
+
+    @Required
+    @Option(name = "--zone", description = "availability zone of the VM")
+    private String zone;
+
+    @Required
+    @Option(name = "--address", description = "IP number for callers and other nodes")
+    private String address;
+
+    @Option(name = "--entry-port", description = "port for callers (default 8080)")
+    private int entryPort = 8080;
+
+    @Option(name = "--host-port", description = "port for requests of nodes (default 8081)")
+    private int hostPort = 8081;
+
+    @Option(name = "--control-port", description = "port for control messages (default 8082)")
+    private int controlPort = 8082;
+
+    @Option(name = "--admin-address", description = "IP number of the admin listener")
+    private String adminAddress = "127.0.0.1";
+
+    @Option(name = "--admin-port", description = "port of the admin listener (default 8083)")
+    private int adminPort = 8083;
+
+    @Required
+    @Option(name = "--platform", description = "URL of the platform's object API")
+    private String platform;
+
+    @Override
+    public Integer call() throws Exception {
+        NodeSettings settings =
+                new NodeSettings(
+                        new NodeId(nodeId),
+                        region,
+                        zone,
+                        address,
+                        entryPort,
+                        hostPort,
+                        controlPort,
+                        adminAddress,
+                        adminPort,
+                        URI.create(platform));
+        new NodeApplication(settings).run();
+        Thread.currentThread().join();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/node/AdminResource.java
@@ -0,0 +1,113 @@
+package org.azureshed.node;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.azureshed.control.ControlEvent;
+import org.azureshed.control.ControlLoop;
+import org.azureshed.control.Snapshot;
+import org.azureshed.model.TargetId;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.routing.Candidate;
+import org.azureshed.telemetry.EventLog;
+
+/** Admin API: announcements of targets and the status of the node. */
+@Singleton
+@Path("/")
+@Produces(MediaType.APPLICATION_JSON)
+public final class AdminResource {
+    private static final int BAD_REQUEST = 400;
+
+    private final ControlLoop control;
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    @Inject
+    AdminResource(ControlLoop control) {
+        this.control = control;
+    }
+
+    /**
+     * Takes the announcement of a target on this VM. A target repeats it at least every second.
+     *
+     * @param body JSON with id, service, address, slots and state
+     * @return 204, or 400 with a message
+     */
+    @POST
+    @Path("/targets")
+    @Consumes(MediaType.APPLICATION_JSON)
+    public Response announce(String body) {
+        try {
+            TargetInfo target = mapper.readValue(body, TargetAnnouncement.class).toTarget();
+            control.submit(new ControlEvent.TargetAnnounced(target));
+            return Response.noContent().build();
+        } catch (com.fasterxml.jackson.core.JsonProcessingException | IllegalArgumentException e) {
+            String message = e.getMessage().lines().findFirst().orElse("malformed");
+            EventLog.warning("announcement_refused").with("error", message).write();
+            String json = mapper.createObjectNode().put("message", message).toString();
+            return Response.status(BAD_REQUEST).entity(json).build();
+        }
+    }
+
+    /**
+     * Withdraws a target of this VM.
+     *
+     * @param id the target
+     * @return 204
+     */
+    @DELETE
+    @Path("/targets/{id}")
+    public Response withdraw(@PathParam("id") String id) {
+        control.submit(new ControlEvent.TargetWithdrawn(new TargetId(id)));
+        return Response.noContent().build();
+    }
+
+    /**
+     * Describes what this node knows.
+     *
+     * @return JSON with the node, the preset in force and the targets of each service
+     */
+    @GET
+    @Path("/status")
+    public String status() {
+        Snapshot snapshot = control.snapshot();
+        ObjectNode root = mapper.createObjectNode();
+        root.put("node", snapshot.self().id().value());
+        root.put("region", snapshot.self().region());
+        root.put("availabilityZone", snapshot.self().availabilityZone());
+        root.put("draining", snapshot.self().draining());
+        snapshot.active()
+                .ifPresent(
+                        active -> {
+                            root.put("activationNumber", active.number());
+                            root.put("preset", active.preset().name());
+                            root.put("reason", active.reason());
+                        });
+        ObjectNode services = root.putObject("services");
+        snapshot.candidates()
+                .forEach(
+                        (service, candidates) -> {
+                            ArrayNode list = services.putArray(service);
+                            candidates.forEach(candidate -> addTarget(list, candidate));
+                        });
+        return root.toPrettyString() + "\n";
+    }
+
+    private static void addTarget(ArrayNode list, Candidate candidate) {
+        list.addObject()
+                .put("target", candidate.target().id().value())
+                .put("node", candidate.node().id().value())
+                .put("slots", candidate.target().slots())
+                .put("state", candidate.target().state().name().toLowerCase(java.util.Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -0,0 +1,86 @@
+package org.azureshed.node;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import java.io.ByteArrayInputStream;
+import org.azureshed.control.ControlLoop;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.proxy.TrafficServlet;
+import org.azureshed.telemetry.EventLog;
+import org.glassfish.jersey.server.ResourceConfig;
+import org.glassfish.jersey.servlet.ServletContainer;
+
+/**
+ * One node of the fleet as a Dropwizard application.
+ *
+ * <pre>{@code
+ * new NodeApplication(settings).run();
+ * }</pre>
+ */
+public final class NodeApplication extends Application<NodeConfiguration> {
+    private final NodeSettings settings;
+
+    /**
+     * Creates a node that is not running yet.
+     *
+     * @param settings its settings
+     */
+    public NodeApplication(NodeSettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Starts the node and returns when its listeners are open.
+     *
+     * @throws Exception if a listener cannot be opened
+     */
+    public void run() throws Exception {
+        run("server", "generated");
+    }
+
+    @Override
+    public String getName() {
+        return "azureshed";
+    }
+
+    @Override
+    public void initialize(Bootstrap<NodeConfiguration> bootstrap) {
+        byte[] configuration = ServerConfiguration.json(settings);
+        bootstrap.setConfigurationSourceProvider(path -> new ByteArrayInputStream(configuration));
+    }
+
+    @Override
+    public void run(NodeConfiguration configuration, Environment environment) {
+        Injector injector = Guice.createInjector(new NodeModule(settings));
+        environment.jersey().disable();
+        environment
+                .servlets()
+                .addServlet("traffic", injector.getInstance(TrafficServlet.class))
+                .addMapping("/*");
+        ResourceConfig api =
+                new ResourceConfig().register(injector.getInstance(AdminResource.class));
+        environment.admin().addServlet("api", new ServletContainer(api)).addMapping("/v1/*");
+        environment
+                .admin()
+                .addServlet("prometheus", injector.getInstance(MetricsServlet.class))
+                .addMapping("/metrics");
+        environment.healthChecks().register("node", injector.getInstance(NodeHealthCheck.class));
+        ControlLoop control = injector.getInstance(ControlLoop.class);
+        control.start();
+        injector.getInstance(NodeShell.class).start();
+        logStart(injector.getInstance(NodeInfo.class));
+    }
+
+    private void logStart(NodeInfo self) {
+        EventLog.info("node_started")
+                .with("node", self.id())
+                .with("zone", self.availabilityZone())
+                .with("entry", self.entry())
+                .with("host", self.host())
+                .with("admin", settings.adminAddress() + ":" + settings.adminPort())
+                .write();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -0,0 +1,45 @@
+package org.azureshed.node;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import jakarta.inject.Singleton;
+import org.azureshed.control.ControlLoop;
+import org.azureshed.control.ControlReducer;
+import org.azureshed.control.ControlState;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.platform.HttpObjectStore;
+import org.azureshed.platform.ObjectStore;
+
+/** Builds the objects of one node. */
+final class NodeModule extends AbstractModule {
+    private final NodeSettings settings;
+
+    NodeModule(NodeSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    protected void configure() {
+        bind(NodeSettings.class).toInstance(settings);
+        bind(PrometheusRegistry.class).toInstance(new PrometheusRegistry());
+    }
+
+    @Provides
+    @Singleton
+    NodeInfo self() {
+        return settings.initialInfo(System.currentTimeMillis());
+    }
+
+    @Provides
+    @Singleton
+    ObjectStore objectStore() {
+        return new HttpObjectStore(settings.platform());
+    }
+
+    @Provides
+    @Singleton
+    ControlLoop controlLoop(NodeInfo self, NodeShell shell) {
+        return new ControlLoop(new ControlReducer(), ControlState.initial(self), shell::carryOut);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -0,0 +1,53 @@
+package org.azureshed.node;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.azureshed.control.ActivePreset;
+import org.azureshed.control.Effect;
+import org.azureshed.telemetry.EventLog;
+import org.azureshed.telemetry.FleetMetrics;
+
+/** Carries out the effects of the reducer and runs the node's background work. */
+@Singleton
+final class NodeShell {
+    private final SelfPublisher publisher;
+    private final NodeWatcher nodes;
+    private final FleetMetrics metrics;
+
+    @Inject
+    NodeShell(SelfPublisher publisher, NodeWatcher nodes, FleetMetrics metrics) {
+        this.publisher = publisher;
+        this.nodes = nodes;
+        this.metrics = metrics;
+    }
+
+    /** Starts the background threads. */
+    void start() {
+        Thread.ofVirtual().name("self-publisher").start(publisher::run);
+        Thread.ofVirtual().name("node-watcher").start(nodes::run);
+    }
+
+    /**
+     * Carries out one effect. It runs on the control thread and does not block.
+     *
+     * @param effect the effect
+     */
+    void carryOut(Effect effect) {
+        switch (effect) {
+            case Effect.PublishSelf(var self) -> publisher.publish(self);
+            case Effect.PresetInForce(ActivePreset active) -> logActivation(active);
+            case Effect.PublishSnapshot snapshot -> {
+                // The control loop publishes snapshots itself.
+            }
+        }
+    }
+
+    private void logActivation(ActivePreset active) {
+        metrics.activation(active.number());
+        EventLog.info("preset_in_force")
+                .with("activation", active.number())
+                .with("preset", active.preset().name())
+                .with("reason", active.reason())
+                .write();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -0,0 +1,131 @@
+package org.azureshed.proxy;
+
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.azureshed.model.Outcome;
+import org.azureshed.model.RefusalReason;
+import org.azureshed.model.UnknownCause;
+
+/** Writes answers and refusals to the connection that a request came from. */
+final class AnswerWriter {
+    private static final int COPY_BUFFER_BYTES = 16 * 1024;
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private AnswerWriter() {}
+
+    /**
+     * Copies status and headers, without the headers of one connection.
+     *
+     * @param from the answer received
+     * @param to the answer to send
+     * @param keep which of the remaining headers to copy
+     */
+    static void copyHead(ClassicHttpResponse from, HttpServletResponse to, Predicate<String> keep) {
+        to.setStatus(from.getCode());
+        Set<String> connectionHeaders = connectionHeaders(from);
+        for (Header header : from.getHeaders()) {
+            String name = header.getName();
+            boolean listed = connectionHeaders.contains(name.toLowerCase(Locale.ROOT));
+            if (!InternalHeaders.isHopByHop(name) && !listed && keep.test(name)) {
+                to.addHeader(name, header.getValue());
+            }
+        }
+        Header length = from.getFirstHeader(HttpHeaders.CONTENT_LENGTH);
+        if (length != null) {
+            to.setHeader(HttpHeaders.CONTENT_LENGTH, length.getValue());
+        }
+    }
+
+    private static Set<String> connectionHeaders(ClassicHttpResponse from) {
+        Header connection = from.getFirstHeader(HttpHeaders.CONNECTION);
+        return connection == null
+                ? Set.of()
+                : new HashSet<>(
+                        List.of(connection.getValue().toLowerCase(Locale.ROOT).split("\\s*,\\s*")));
+    }
+
+    /**
+     * Copies the body. The head is sent first, so that a body that breaks off aborts the connection
+     * instead of becoming another answer.
+     *
+     * @param entity the body, or null
+     * @param to the answer to send
+     * @throws IOException if either connection fails
+     */
+    static void copyBody(HttpEntity entity, HttpServletResponse to) throws IOException {
+        if (entity == null) {
+            return;
+        }
+        to.flushBuffer();
+        byte[] buffer = new byte[COPY_BUFFER_BYTES];
+        OutputStream output = to.getOutputStream();
+        try (InputStream input = entity.getContent()) {
+            int count;
+            while ((count = input.read(buffer)) >= 0) {
+                output.write(buffer, 0, count);
+                output.flush();
+            }
+        }
+    }
+
+    /**
+     * Answers that the request did not run.
+     *
+     * @param to the answer to send
+     * @param reason why
+     * @param retryAfterSeconds value of Retry-After where the reason has one
+     * @throws IOException if the connection fails
+     */
+    static void refuse(HttpServletResponse to, RefusalReason reason, long retryAfterSeconds)
+            throws IOException {
+        if (reason.retryAfter()) {
+            to.setHeader(HttpHeaders.RETRY_AFTER, Long.toString(retryAfterSeconds));
+        }
+        write(to, reason.status(), "not-run", reason.label(), reason.message());
+    }
+
+    /**
+     * Answers that it is not known whether the request ran.
+     *
+     * @param to the answer to send
+     * @param unknown the outcome
+     * @throws IOException if the connection fails
+     */
+    static void unknown(HttpServletResponse to, Outcome.Unknown unknown) throws IOException {
+        boolean timeout = unknown.cause() == UnknownCause.ANSWER_TIMEOUT;
+        write(
+                to,
+                timeout ? GATEWAY_TIMEOUT : BAD_GATEWAY,
+                "unknown",
+                unknown.cause().label(),
+                "the request may have run; look its result up before you send it again");
+    }
+
+    private static void write(
+            HttpServletResponse to, int status, String outcome, String reason, String message)
+            throws IOException {
+        String body =
+                "{\"outcome\":\"%s\",\"reason\":\"%s\",\"message\":\"%s\"}\n"
+                        .formatted(outcome, reason, message);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        to.setStatus(status);
+        to.setHeader(InternalHeaders.OUTCOME, outcome);
+        to.setHeader(InternalHeaders.REASON, reason);
+        to.setContentType("application/json");
+        to.setContentLength(bytes.length);
+        to.getOutputStream().write(bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/ForwardClient.java
@@ -0,0 +1,121 @@
+package org.azureshed.proxy;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.protocol.HttpClientContext;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.Outcome;
+import org.azureshed.model.RefusalReason;
+import org.azureshed.model.UnknownCause;
+
+/**
+ * Sends requests to nodes or targets, one exchange at a time on a connection, and never sends a
+ * request twice by itself: automatic retries, redirects, authentication, cookies and content
+ * decoding of the library are switched off.
+ */
+final class ForwardClient implements AutoCloseable {
+    private static final Timeout CONNECT_TIMEOUT = Timeout.ofMilliseconds(1_000);
+    private static final Timeout BODY_IDLE_TIMEOUT = Timeout.ofSeconds(60);
+
+    /**
+     * Idle connections are closed before the listeners of our nodes do it (60 s), so that a request
+     * is not written to a connection that the peer is closing.
+     */
+    private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(20);
+
+    private static final TimeValue VALIDATE_AFTER = TimeValue.ofSeconds(1);
+    private static final int MAX_CONNECTIONS_PER_PEER = 350;
+    private static final int MAX_CONNECTIONS = 4_000;
+
+    private final CloseableHttpClient client;
+    private final RefusalReason unreachable;
+    private final UnknownCause connectionLost;
+
+    ForwardClient(RefusalReason unreachable, UnknownCause connectionLost) {
+        this.unreachable = unreachable;
+        this.connectionLost = connectionLost;
+        this.client =
+                HttpClients.custom()
+                        .setConnectionManager(connectionManager())
+                        .setRequestExecutor(new SentMarker(BODY_IDLE_TIMEOUT))
+                        .disableAutomaticRetries()
+                        .disableRedirectHandling()
+                        .disableCookieManagement()
+                        .disableAuthCaching()
+                        .disableContentCompression()
+                        .disableConnectionState()
+                        .disableDefaultUserAgent()
+                        .evictExpiredConnections()
+                        .evictIdleConnections(MAX_IDLE)
+                        .build();
+    }
+
+    private static PoolingHttpClientConnectionManager connectionManager() {
+        return PoolingHttpClientConnectionManagerBuilder.create()
+                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+                .setMaxConnPerRoute(MAX_CONNECTIONS_PER_PEER)
+                .setMaxConnTotal(MAX_CONNECTIONS)
+                .setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
+                .setDefaultConnectionConfig(
+                        ConnectionConfig.custom()
+                                .setConnectTimeout(CONNECT_TIMEOUT)
+                                .setSocketTimeout(BODY_IDLE_TIMEOUT)
+                                .setValidateAfterInactivity(VALIDATE_AFTER)
+                                .build())
+                .build();
+    }
+
+    /**
+     * Sends one request.
+     *
+     * @param peer where to
+     * @param request the request; its entity is streamed
+     * @param timeLeft longest wait for the head of the answer
+     * @return the answer or a typed failure
+     */
+    ForwardResult send(Endpoint peer, ClassicHttpRequest request, Duration timeLeft) {
+        HttpClientContext context = HttpClientContext.create();
+        Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeLeft.toMillis()));
+        context.setRequestConfig(
+                RequestConfig.custom()
+                        .setConnectionRequestTimeout(timeout)
+                        .setResponseTimeout(timeout)
+                        .setExpectContinueEnabled(false)
+                        .setHardCancellationEnabled(true)
+                        .build());
+        HttpHost host = new HttpHost("http", peer.host(), peer.port());
+        try {
+            return new ForwardResult.Answer(client.executeOpen(host, request, context));
+        } catch (SocketTimeoutException e) {
+            return failed(context, UnknownCause.ANSWER_TIMEOUT, e);
+        } catch (IOException | RuntimeException e) {
+            return failed(context, connectionLost, e);
+        }
+    }
+
+    private ForwardResult failed(HttpClientContext context, UnknownCause cause, Exception e) {
+        Outcome outcome =
+                SentMarker.sent(context)
+                        ? new Outcome.Unknown(cause)
+                        : new Outcome.NotRun(unreachable);
+        return new ForwardResult.Failed(outcome, e.toString());
+    }
+
+    @Override
+    public void close() throws IOException {
+        client.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/Requests.java
@@ -0,0 +1,50 @@
+package org.azureshed.proxy;
+
+import jakarta.servlet.http.HttpServletRequest;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+/** Builds the outgoing form of a received request. */
+final class Requests {
+    private Requests() {}
+
+    /**
+     * Copies method, path, query and headers.
+     *
+     * @param from the request received
+     * @param keep which headers to copy besides those of one connection
+     * @param entity the body, or null
+     * @return the request to send
+     */
+    static ClassicHttpRequest copy(
+            HttpServletRequest from, Predicate<String> keep, HttpEntity entity) {
+        String query = from.getQueryString();
+        String path = from.getRequestURI() + (query == null ? "" : "?" + query);
+        BasicClassicHttpRequest to = new BasicClassicHttpRequest(from.getMethod(), path);
+        Set<String> connectionHeaders = connectionHeaders(from);
+        for (String name : Collections.list(from.getHeaderNames())) {
+            boolean listed = connectionHeaders.contains(name.toLowerCase(Locale.ROOT));
+            if (!InternalHeaders.isHopByHop(name) && !listed && keep.test(name)) {
+                Collections.list(from.getHeaders(name)).forEach(value -> to.addHeader(name, value));
+            }
+        }
+        to.setEntity(entity);
+        return to;
+    }
+
+    private static Set<String> connectionHeaders(HttpServletRequest from) {
+        Set<String> names = new HashSet<>();
+        for (String value : Collections.list(from.getHeaders(HttpHeaders.CONNECTION))) {
+            names.addAll(List.of(value.toLowerCase(Locale.ROOT).trim().split("\\s*,\\s*")));
+        }
+        return names;
+    }
+}
