--- /dev/null
+++ b/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
@@ -0,0 +1,158 @@
+package org.azureshed.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.azureshed.standin.PlatformStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards the outcomes that the client reports for each fault of the platform. */
+class HttpObjectStoreTest {
+    private static final ObjectKey KEY = new ObjectKey("thing", "one");
+    private static final Duration WAIT = Duration.ofSeconds(5);
+
+    private final PlatformStandIn platform = new PlatformStandIn(0);
+    private HttpObjectStore store;
+
+    @BeforeEach
+    void start() {
+        platform.start();
+        store = new HttpObjectStore(platform.uri(), Duration.ofMillis(500), Duration.ofMillis(400));
+    }
+
+    @AfterEach
+    void stop() {
+        store.close();
+        platform.close();
+    }
+
+    @Test
+    void writesAreConditionalAndVersionsGrowOverTheWholeStore() {
+        long first = version(store.put(KEY, bytes("a"), ObjectStore.MUST_NOT_EXIST));
+        long other = version(store.put(new ObjectKey("x", "y"), bytes("b"), 0));
+        assertTrue(other > first);
+        assertEquals(new StoreError.Conflict(KEY, first), store.put(KEY, bytes("c"), 0).getLeft());
+        StoredObject read = store.get(KEY).get();
+        assertArrayEquals(bytes("a"), read.value());
+        assertTrue(Math.abs(read.serverTimeMillis() - System.currentTimeMillis()) < 60_000);
+        assertTrue(version(store.delete(KEY, first)) > other);
+        assertEquals(new StoreError.NotFound(KEY), store.get(KEY).getLeft());
+        assertEquals(new StoreError.Conflict(KEY, 0), store.delete(KEY, first).getLeft());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'{\"outage\":\"close\"}', Unavailable, OutcomeUnknown, false",
+        "'{\"outage\":\"unavailable\"}', Unavailable, Unavailable, false",
+        "'{\"slowMillis\":900}', Unavailable, OutcomeUnknown, true",
+        "'{\"loseAnswers\":1}', , OutcomeUnknown, true",
+        "'{\"writesPerSecond\":-1,\"readsPerSecond\":-1}', RateLimited, RateLimited, false",
+    })
+    void reportsEachFault(String fault, String readError, String writeError, boolean written)
+            throws Exception {
+        long version = version(store.put(KEY, bytes("a"), 0));
+        faults(fault);
+        assertEquals(writeError, name(store.put(KEY, bytes("b"), version)));
+        assertEquals(readError, name(store.get(KEY)));
+        faults(
+                "{\"outage\":\"none\",\"slowMillis\":0,\"writesPerSecond\":0,"
+                        + "\"readsPerSecond\":0}");
+        Thread.sleep(600);
+        assertArrayEquals(bytes(written ? "b" : "a"), store.get(KEY).get().value());
+    }
+
+    @Test
+    void refusedConnectionIsNotAnUnknownOutcome() {
+        platform.close();
+        assertInstanceOf(StoreError.Unavailable.class, store.put(KEY, bytes("a"), 0).getLeft());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1048576, ", "1048577, TooLarge"})
+    void limitsTheSizeOfValues(int size, String error) throws Exception {
+        assertEquals(error, name(store.put(KEY, new byte[size], 0)));
+        URI uri = platform.uri().resolve("/objects/thing/two?ifVersion=0");
+        HttpRequest raw =
+                HttpRequest.newBuilder(uri)
+                        .PUT(HttpRequest.BodyPublishers.ofByteArray(new byte[size]))
+                        .build();
+        assertEquals(error == null ? 200 : 413, send(raw).statusCode());
+    }
+
+    @Test
+    void watchDeliversChangesAndAsksForAListingAfterARestore() throws Exception {
+        version(store.put(KEY, bytes("a"), 0));
+        faults("{\"snapshot\":true}");
+        Listing listing = store.list("thing").get();
+        assertEquals(1, listing.objects().size());
+        var waiting =
+                CompletableFuture.supplyAsync(() -> store.watch("thing", listing.version(), WAIT));
+        version(store.put(KEY, bytes("b"), listing.version()));
+        Listing change = waiting.get().get();
+        assertArrayEquals(bytes("b"), change.objects().getFirst().value());
+        faults("{\"restore\":true}");
+        assertEquals("Compacted", name(store.watch("thing", change.version(), WAIT)));
+        assertArrayEquals(bytes("a"), store.get(KEY).get().value());
+        assertTrue(store.list("thing").get().version() > change.version());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"dropWatches, Unavailable", "staleWatches, "})
+    void watchesCanBeDroppedOrStale(String fault, String error) throws Exception {
+        long version = version(store.put(KEY, bytes("a"), 0));
+        faults("{\"" + fault + "\":true}");
+        version(store.put(KEY, bytes("b"), version));
+        Either<StoreError, Listing> watch = store.watch("thing", version, Duration.ofMillis(50));
+        assertEquals(error, name(watch));
+        assertTrue(watch.isLeft() || watch.get().objects().isEmpty());
+    }
+
+    @Test
+    void countsCallsByKind() throws Exception {
+        version(store.put(KEY, bytes("a"), 0));
+        store.watch("thing", 0, Duration.ZERO);
+        HttpRequest stats = HttpRequest.newBuilder(platform.uri().resolve("/stats")).build();
+        assertEquals(
+                "{\"delete\":0,\"get\":0,\"list\":0,\"put\":1,\"rateLimited\":0,\"watch\":1}",
+                send(stats).body());
+    }
+
+    private static String name(Either<StoreError, ?> result) {
+        return result.isRight() ? null : result.getLeft().getClass().getSimpleName();
+    }
+
+    private static long version(Either<StoreError, StoredObject> result) {
+        return result.get().version();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes();
+    }
+
+    private void faults(String json) throws Exception {
+        HttpRequest request =
+                HttpRequest.newBuilder(platform.uri().resolve("/faults"))
+                        .POST(HttpRequest.BodyPublishers.ofString(json))
+                        .build();
+        assertEquals(200, send(request).statusCode());
+    }
+
+    private static HttpResponse<String> send(HttpRequest request) throws Exception {
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+    }
+}
