--- a/src/main/java/org/azureshed/model/UnknownCause.java
+++ b/src/main/java/org/azureshed/model/UnknownCause.java
@@ -1,6 +1,7 @@
 package org.azureshed.model;
 
 import java.util.Locale;
+import java.util.Optional;
 
 /** Why it is not known whether a request ran. Each cause has its own counter. */
 public enum UnknownCause {
@@ -14,6 +15,8 @@
     EXCHANGE_MISMATCH,
     /** The caller went away and the work was cancelled. */
     CALLER_GONE,
+    /** The request body broke off, or went over the limit, after its first part was sent. */
+    REQUEST_ABORTED,
     /** The answer was malformed. */
     BAD_ANSWER;
 
@@ -25,4 +28,19 @@
     public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
+
+    /**
+     * Finds a cause by its label.
+     *
+     * @param label for example {@code answer-timeout}
+     * @return the cause, or empty if no cause has that label
+     */
+    public static Optional<UnknownCause> parse(String label) {
+        for (UnknownCause cause : values()) {
+            if (cause.label().equals(label)) {
+                return Optional.of(cause);
+            }
+        }
+        return Optional.empty();
+    }
 }
--- a/src/main/java/org/azureshed/proxy/AnswerWriter.java
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -21,6 +21,7 @@
 /** Writes answers and refusals to the connection that a request came from. */
 final class AnswerWriter {
     private static final int COPY_BUFFER_BYTES = 16 * 1024;
+    private static final long MILLIS_PER_SECOND = 1_000;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
 
@@ -63,9 +64,11 @@
      *
      * @param entity the body, or null
      * @param to the answer to send
+     * @param progress called after each part
      * @throws IOException if either connection fails
      */
-    static void copyBody(HttpEntity entity, HttpServletResponse to) throws IOException {
+    static void copyBody(HttpEntity entity, HttpServletResponse to, Runnable progress)
+            throws IOException {
         if (entity == null) {
             return;
         }
@@ -77,6 +80,7 @@
             while ((count = input.read(buffer)) >= 0) {
                 output.write(buffer, 0, count);
                 output.flush();
+                progress.run();
             }
         }
     }
@@ -86,13 +90,14 @@
      *
      * @param to the answer to send
      * @param reason why
-     * @param retryAfterSeconds value of Retry-After where the reason has one
+     * @param retryAfterMillis when to send again, in milliseconds, where the reason allows it
      * @throws IOException if the connection fails
      */
-    static void refuse(HttpServletResponse to, RefusalReason reason, long retryAfterSeconds)
+    static void refuse(HttpServletResponse to, RefusalReason reason, long retryAfterMillis)
             throws IOException {
         if (reason.retryAfter()) {
-            to.setHeader(HttpHeaders.RETRY_AFTER, Long.toString(retryAfterSeconds));
+            long seconds = Math.max(1, Math.ceilDiv(retryAfterMillis, MILLIS_PER_SECOND));
+            to.setHeader(HttpHeaders.RETRY_AFTER, Long.toString(seconds));
         }
         write(to, reason.status(), "not-run", reason.label(), reason.message());
     }
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/Call.java
@@ -0,0 +1,35 @@
+package org.azureshed.proxy;
+
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.time.Duration;
+import org.azureshed.control.Snapshot;
+import org.azureshed.model.RequestClass;
+import org.azureshed.model.Route;
+
+/**
+ * A caller's request on its way through the entry side.
+ *
+ * @param request the request
+ * @param response where the answer goes
+ * @param snapshot the control state that it is routed with
+ * @param route its route
+ * @param requestClass its class
+ * @param organisation organisation that sent it; empty if the caller named none
+ * @param body its body
+ * @param startNanos when it arrived
+ */
+record Call(
+        HttpServletRequest request,
+        HttpServletResponse response,
+        Snapshot snapshot,
+        Route route,
+        RequestClass requestClass,
+        String organisation,
+        RequestBody body,
+        long startNanos) {
+    Duration timeLeft() {
+        long elapsed = System.nanoTime() - startNanos;
+        return Duration.ofMillis(requestClass.deadlineMillis()).minusNanos(elapsed);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -0,0 +1,198 @@
+package org.azureshed.proxy;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.Outcome;
+import org.azureshed.model.RefusalReason;
+import org.azureshed.model.RetryReason;
+import org.azureshed.model.TargetId;
+import org.azureshed.model.UnknownCause;
+import org.azureshed.routing.Candidate;
+import org.azureshed.telemetry.EventLog;
+import org.azureshed.telemetry.FleetMetrics;
+
+/**
+ * Sends a caller's request to a target, and to another one while the outcome allows it.
+ *
+ * <p>Work that did not run is sent again; work of unknown outcome only if its class is idempotent.
+ */
+@Singleton
+final class Dispatcher {
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final FleetMetrics metrics;
+    private final ExchangeMonitor monitor;
+    private final ForwardClient client;
+    private final ExchangeIds exchangeIds;
+
+    @Inject
+    Dispatcher(FleetMetrics metrics, ExchangeMonitor monitor, NodeInfo self) {
+        this.metrics = metrics;
+        this.monitor = monitor;
+        this.client =
+                new ForwardClient(
+                        RefusalReason.NODE_UNREACHABLE, UnknownCause.NODE_CONNECTION_LOST);
+        this.exchangeIds = new ExchangeIds(self);
+    }
+
+    /**
+     * Runs a request. A completed answer has been written to the caller; any other outcome has not.
+     *
+     * @param call the request
+     * @return the outcome of the last attempt
+     * @throws IOException if the answer broke off after its head was sent to the caller
+     */
+    Outcome dispatch(Call call) throws IOException {
+        Set<TargetId> tried = new HashSet<>();
+        Outcome last = new Outcome.NotRun(RefusalReason.NO_TARGET);
+        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            if (call.timeLeft().isNegative()) {
+                return attempt == 1 ? new Outcome.NotRun(RefusalReason.DEADLINE_EXCEEDED) : last;
+            }
+            Optional<Candidate> candidate = pick(call, tried);
+            if (candidate.isEmpty()) {
+                return last;
+            }
+            if (attempt > 1) {
+                metrics.retried(retryReason(last));
+            }
+            tried.add(candidate.get().target().id());
+            last = attempt(call, candidate.get(), attempt);
+            if (!retryable(call, last)) {
+                return last;
+            }
+        }
+        return last;
+    }
+
+    private static RetryReason retryReason(Outcome last) {
+        return last instanceof Outcome.NotRun
+                ? RetryReason.NOT_RUN
+                : RetryReason.IDEMPOTENT_UNKNOWN;
+    }
+
+    private static boolean retryable(Call call, Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Completed completed -> false;
+            case Outcome.NotRun(RefusalReason reason) ->
+                    reason.retryAfter() && call.body().replayable();
+            case Outcome.Unknown(UnknownCause cause) ->
+                    cause != UnknownCause.CALLER_GONE
+                            && call.requestClass().idempotent()
+                            && call.body().replayable();
+        };
+    }
+
+    private static Optional<Candidate> pick(Call call, Set<TargetId> tried) {
+        List<Candidate> ready =
+                call.snapshot().candidatesOf(call.route().service()).stream()
+                        .filter(Candidate::ready)
+                        .filter(candidate -> !tried.contains(candidate.target().id()))
+                        .toList();
+        return ready.isEmpty()
+                ? Optional.empty()
+                : Optional.of(ready.get(ThreadLocalRandom.current().nextInt(ready.size())));
+    }
+
+    private Outcome attempt(Call call, Candidate candidate, int attempt) throws IOException {
+        String exchange = exchangeIds.next();
+        CancellableRequest request = request(call, candidate, exchange, attempt);
+        try (InFlight inFlight = monitor.watch(request, call.request())) {
+            ForwardResult result =
+                    client.send(
+                            candidate.node().host(),
+                            request,
+                            call.body(),
+                            call.body().large(),
+                            call.timeLeft(),
+                            inFlight);
+            return switch (result) {
+                case ForwardResult.Answer(ClassicHttpResponse answer) ->
+                        relay(call, exchange, answer, inFlight);
+                case ForwardResult.Failed(Outcome outcome, String detail) -> {
+                    logFailure(exchange, candidate, outcome, detail);
+                    yield outcome;
+                }
+            };
+        }
+    }
+
+    private static CancellableRequest request(
+            Call call, Candidate candidate, String exchange, int attempt) {
+        CancellableRequest request =
+                Requests.copy(call.request(), name -> !InternalHeaders.isInternal(name));
+        request.setHeader(InternalHeaders.EXCHANGE, exchange);
+        request.setHeader(InternalHeaders.TARGET, candidate.target().id());
+        request.setHeader(InternalHeaders.SERVICE, call.route().service());
+        request.setHeader(InternalHeaders.ROUTE, call.route().id());
+        request.setHeader(InternalHeaders.CLASS, call.requestClass().name());
+        request.setHeader(InternalHeaders.ORGANISATION, call.organisation());
+        request.setHeader(InternalHeaders.DEADLINE_MS, call.timeLeft().toMillis());
+        request.setHeader(InternalHeaders.ATTEMPT, attempt);
+        return request;
+    }
+
+    private static void logFailure(
+            String exchange, Candidate candidate, Outcome outcome, String detail) {
+        EventLog.warning("forward_failed")
+                .with("exchange", exchange)
+                .with("target", candidate.target().id())
+                .with("outcome", outcome)
+                .with("detail", detail)
+                .write();
+    }
+
+    private Outcome relay(
+            Call call, String exchange, ClassicHttpResponse answer, InFlight inFlight)
+            throws IOException {
+        try (answer) {
+            if (!exchange.equals(value(answer, InternalHeaders.EXCHANGE))) {
+                return new Outcome.Unknown(UnknownCause.EXCHANGE_MISMATCH);
+            }
+            Optional<Outcome> failure = failureOf(answer);
+            if (failure.isPresent()) {
+                return failure.get();
+            }
+            HttpServletResponse response = call.response();
+            AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight::progressed);
+            return new Outcome.Completed(answer.getCode());
+        }
+    }
+
+    /** Reads a typed failure that the host side answered with. */
+    private static Optional<Outcome> failureOf(ClassicHttpResponse answer) {
+        String reason = value(answer, InternalHeaders.REASON);
+        return switch (value(answer, InternalHeaders.OUTCOME)) {
+            case "completed" -> Optional.empty();
+            case "not-run" ->
+                    RefusalReason.parse(reason)
+                            .<Outcome>map(Outcome.NotRun::new)
+                            .or(() -> Optional.of(badAnswer()));
+            case "unknown" ->
+                    Optional.of(
+                            new Outcome.Unknown(
+                                    UnknownCause.parse(reason).orElse(UnknownCause.BAD_ANSWER)));
+            default -> Optional.of(badAnswer());
+        };
+    }
+
+    private static Outcome badAnswer() {
+        return new Outcome.Unknown(UnknownCause.BAD_ANSWER);
+    }
+
+    private static String value(ClassicHttpResponse answer, String name) {
+        Header header = answer.getFirstHeader(name);
+        return header == null ? "" : header.getValue();
+    }
+}
--- a/src/main/java/org/azureshed/proxy/ForwardClient.java
+++ b/src/main/java/org/azureshed/proxy/ForwardClient.java
@@ -10,7 +10,6 @@
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.protocol.HttpClientContext;
-import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
@@ -28,6 +27,13 @@
  */
 final class ForwardClient implements AutoCloseable {
     private static final Timeout CONNECT_TIMEOUT = Timeout.ofMilliseconds(1_000);
+
+    /**
+     * Longest wait of the entry side for the host side's decision on a large request. After it the
+     * library would send the body unasked, so it is longer than any queue.
+     */
+    private static final Timeout WAIT_FOR_CONTINUE = Timeout.ofMinutes(10);
+
     private static final Timeout BODY_IDLE_TIMEOUT = Timeout.ofSeconds(60);
 
     /**
@@ -50,7 +56,7 @@
         this.client =
                 HttpClients.custom()
                         .setConnectionManager(connectionManager())
-                        .setRequestExecutor(new SentMarker(BODY_IDLE_TIMEOUT))
+                        .setRequestExecutor(new SentMarker(WAIT_FOR_CONTINUE, BODY_IDLE_TIMEOUT))
                         .disableAutomaticRetries()
                         .disableRedirectHandling()
                         .disableCookieManagement()
@@ -82,34 +88,47 @@
      * Sends one request.
      *
      * @param peer where to
-     * @param request the request; its entity is streamed
+     * @param request the request
+     * @param body its body
+     * @param awaitContinue whether the peer decides on the head alone, before the body is sent
      * @param timeLeft longest wait for the head of the answer
+     * @param inFlight progress and cancellation of the request
      * @return the answer or a typed failure
      */
-    ForwardResult send(Endpoint peer, ClassicHttpRequest request, Duration timeLeft) {
+    ForwardResult send(
+            Endpoint peer,
+            CancellableRequest request,
+            RequestBody body,
+            boolean awaitContinue,
+            Duration timeLeft,
+            InFlight inFlight) {
+        request.setEntity(body.entity(inFlight::progressed));
         HttpClientContext context = HttpClientContext.create();
         Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeLeft.toMillis()));
         context.setRequestConfig(
                 RequestConfig.custom()
                         .setConnectionRequestTimeout(timeout)
                         .setResponseTimeout(timeout)
-                        .setExpectContinueEnabled(false)
+                        .setExpectContinueEnabled(awaitContinue)
                         .setHardCancellationEnabled(true)
                         .build());
         HttpHost host = new HttpHost("http", peer.host(), peer.port());
         try {
             return new ForwardResult.Answer(client.executeOpen(host, request, context));
+        } catch (CallerBodyException e) {
+            return failed(context, UnknownCause.REQUEST_ABORTED, inFlight, e);
         } catch (SocketTimeoutException e) {
-            return failed(context, UnknownCause.ANSWER_TIMEOUT, e);
+            return failed(context, UnknownCause.ANSWER_TIMEOUT, inFlight, e);
         } catch (IOException | RuntimeException e) {
-            return failed(context, connectionLost, e);
+            return failed(context, connectionLost, inFlight, e);
         }
     }
 
-    private ForwardResult failed(HttpClientContext context, UnknownCause cause, Exception e) {
+    private ForwardResult failed(
+            HttpClientContext context, UnknownCause cause, InFlight inFlight, Exception e) {
         Outcome outcome =
                 SentMarker.sent(context)
-                        ? new Outcome.Unknown(cause)
+                        ? new Outcome.Unknown(inFlight.cancelCause().orElse(cause))
                         : new Outcome.NotRun(unreachable);
         return new ForwardResult.Failed(outcome, e.toString());
     }
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -6,132 +6,243 @@
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.azureshed.admission.Admission;
+import org.azureshed.admission.Refusal;
+import org.azureshed.admission.Request;
+import org.azureshed.admission.Ticket;
+import org.azureshed.admission.TicketResult;
 import org.azureshed.control.ControlLoop;
+import org.azureshed.control.Snapshot;
 import org.azureshed.model.Outcome;
 import org.azureshed.model.RefusalReason;
+import org.azureshed.model.RequestClass;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
-import org.azureshed.model.TargetState;
 import org.azureshed.model.UnknownCause;
+import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
 import org.azureshed.telemetry.FleetMetrics.Side;
 
 /** Host side: the only way to the targets of its VM. */
 @Singleton
 final class HostHandler {
-    private static final long RETRY_AFTER_SECONDS = 1;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Treatment of a class that the preset of this node does not define (yet). */
+    private static final RequestClass UNKNOWN_CLASS =
+            new RequestClass("unknown", false, false, 30_000, 1_000, 0);
 
     private final ControlLoop control;
+    private final Admission admission;
     private final FleetMetrics metrics;
+    private final ExchangeMonitor monitor;
+    private final HostClock clock;
     private final ForwardClient client;
-    private final Map<TargetId, Semaphore> slots = new ConcurrentHashMap<>();
 
     @Inject
-    HostHandler(ControlLoop control, FleetMetrics metrics) {
+    HostHandler(
+            ControlLoop control,
+            Admission admission,
+            FleetMetrics metrics,
+            ExchangeMonitor monitor,
+            HostClock clock) {
         this.control = control;
+        this.admission = admission;
         this.metrics = metrics;
+        this.monitor = monitor;
+        this.clock = clock;
         this.client =
                 new ForwardClient(
                         RefusalReason.TARGET_UNREACHABLE, UnknownCause.TARGET_CONNECTION_LOST);
     }
 
+    /** A request of an entry side with its decoded internal headers. */
+    private record Call(
+            HttpServletRequest request,
+            HttpServletResponse response,
+            String exchange,
+            TargetInfo target,
+            Request admissionRequest) {
+        Duration timeLeft() {
+            return Duration.ofNanos(admissionRequest.deadlineNanos() - System.nanoTime());
+        }
+    }
+
     void handle(HttpServletRequest request, HttpServletResponse response) throws IOException {
+        long start = System.nanoTime();
         String exchange = request.getHeader(InternalHeaders.EXCHANGE);
         String targetId = request.getHeader(InternalHeaders.TARGET);
-        if (exchange == null || targetId == null) {
-            refuse(response, RefusalReason.BAD_HEADER);
+        long deadlineMillis = longHeader(request, InternalHeaders.DEADLINE_MS);
+        if (exchange == null || targetId == null || deadlineMillis < 0) {
+            refuse(response, RefusalReason.BAD_HEADER, 0);
             return;
         }
         response.setHeader(InternalHeaders.EXCHANGE, exchange);
-        Optional<TargetInfo> target = control.snapshot().hosted(new TargetId(targetId));
+        Snapshot snapshot = control.snapshot();
+        Optional<TargetInfo> target = snapshot.hosted(new TargetId(targetId));
         if (target.isEmpty()) {
-            refuse(response, RefusalReason.TARGET_UNKNOWN);
-        } else if (target.get().state() != TargetState.READY) {
-            refuse(response, RefusalReason.TARGET_DRAINING);
-        } else {
-            admit(request, response, target.get());
+            refuse(response, RefusalReason.TARGET_UNKNOWN, 0);
+            return;
         }
+        Request admissionRequest =
+                new Request(
+                        target.get().id(),
+                        requestClass(snapshot, request),
+                        header(request, InternalHeaders.ROUTE),
+                        header(request, InternalHeaders.ORGANISATION),
+                        start + TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
+        admit(new Call(request, response, exchange, target.get(), admissionRequest));
+        metrics.observeDuration(Side.HOST, System.nanoTime() - start);
     }
 
-    private void admit(HttpServletRequest request, HttpServletResponse response, TargetInfo target)
-            throws IOException {
-        RequestBody body =
-                RequestBody.read(request.getInputStream(), request.getContentLengthLong());
-        Semaphore gate = slots.computeIfAbsent(target.id(), id -> new Semaphore(target.slots()));
-        long millis = Long.parseLong(request.getHeader(InternalHeaders.DEADLINE_MS));
-        if (!acquire(gate, millis)) {
-            refuse(response, RefusalReason.QUEUE_TIMEOUT);
-            return;
-        }
-        try {
-            forward(request, response, target, body, Duration.ofMillis(millis));
-        } finally {
-            gate.release();
-        }
+    private static RequestClass requestClass(Snapshot snapshot, HttpServletRequest request) {
+        String name = header(request, InternalHeaders.CLASS);
+        return snapshot.active()
+                .map(active -> active.preset().classes().get(name))
+                .orElse(UNKNOWN_CLASS);
     }
 
-    private static boolean acquire(Semaphore gate, long millis) {
-        try {
-            return gate.tryAcquire(millis, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
+    /**
+     * Takes a slot and forwards. A body that fits into the buffer is read first, so that a slow
+     * sender holds no slot; for a larger one the entry side waits for the decision before it sends.
+     */
+    private void admit(Call call) throws IOException {
+        boolean decideFirst = call.request().getHeader(HttpHeaders.EXPECT) != null;
+        RequestBody body = decideFirst ? null : read(call);
+        long now = System.nanoTime();
+        switch (admission.admit(call.admissionRequest(), now).await(System::nanoTime)) {
+            case Refusal(RefusalReason reason, long retryAfterMillis) ->
+                    refuse(call.response(), reason, retryAfterMillis);
+            case Ticket ticket -> {
+                TicketResult result = TicketResult.FAILED;
+                try {
+                    result = forward(call, body == null ? read(call) : body);
+                } finally {
+                    ticket.close(result, System.nanoTime());
+                }
+            }
         }
     }
 
-    private void forward(
-            HttpServletRequest request,
-            HttpServletResponse response,
-            TargetInfo target,
-            RequestBody body,
-            Duration timeLeft)
-            throws IOException {
-        ClassicHttpRequest forwarded = Requests.copy(request, name -> true, body.entity());
-        switch (client.send(target.address(), forwarded, timeLeft)) {
-            case ForwardResult.Failed(Outcome outcome, String detail) -> fail(response, outcome);
-            case ForwardResult.Answer(ClassicHttpResponse answer) -> relay(response, answer);
+    private static RequestBody read(Call call) throws CallerBodyException {
+        return RequestBody.read(call.request(), Long.MAX_VALUE);
+    }
+
+    private TicketResult forward(Call call, RequestBody body) throws IOException {
+        CancellableRequest forwarded =
+                Requests.copy(call.request(), name -> !name.equals(InternalHeaders.START_BY));
+        forwarded.setHeader(InternalHeaders.DEADLINE_MS, call.timeLeft().toMillis());
+        try (InFlight inFlight = monitor.watch(forwarded, call.request())) {
+            ForwardResult result =
+                    client.send(
+                            call.target().address(),
+                            forwarded,
+                            body,
+                            false,
+                            call.timeLeft(),
+                            inFlight);
+            return switch (result) {
+                case ForwardResult.Failed failed -> fail(call, failed);
+                case ForwardResult.Answer(ClassicHttpResponse answer) ->
+                        relay(call, answer, inFlight);
+            };
         }
     }
 
-    private void relay(HttpServletResponse response, ClassicHttpResponse answer)
+    private TicketResult relay(Call call, ClassicHttpResponse answer, InFlight inFlight)
             throws IOException {
         try (answer) {
-            boolean shed =
-                    answer.getCode() == SERVICE_UNAVAILABLE
-                            && answer.containsHeader(InternalHeaders.SHED);
-            if (shed) {
-                fail(response, new Outcome.NotRun(RefusalReason.TARGET_SHED));
-                return;
+            if (!belongsTo(call, answer)) {
+                Outcome outcome = new Outcome.Unknown(UnknownCause.EXCHANGE_MISMATCH);
+                return fail(call, new ForwardResult.Failed(outcome, "answer of another request"));
+            }
+            if (shed(answer)) {
+                Outcome outcome = new Outcome.NotRun(RefusalReason.TARGET_SHED);
+                return fail(call, new ForwardResult.Failed(outcome, "target shed the request"));
             }
+            HttpServletResponse response = call.response();
             AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
             response.setHeader(InternalHeaders.OUTCOME, "completed");
-            AnswerWriter.copyBody(answer.getEntity(), response);
+            addLoad(call);
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight::progressed);
             metrics.completed(Side.HOST, answer.getCode());
+            return answer.getCode() < FIRST_SERVER_ERROR
+                    ? TicketResult.SUCCEEDED
+                    : TicketResult.FAILED;
         }
     }
 
-    private void fail(HttpServletResponse response, Outcome outcome) throws IOException {
-        switch (outcome) {
-            case Outcome.NotRun(RefusalReason reason) -> refuse(response, reason);
+    /** A target that echoes the exchange id has to echo the right one. */
+    private static boolean belongsTo(Call call, ClassicHttpResponse answer) {
+        Header echoed = answer.getFirstHeader(InternalHeaders.EXCHANGE);
+        return echoed == null || echoed.getValue().equals(call.exchange());
+    }
+
+    private static boolean shed(ClassicHttpResponse answer) {
+        return answer.getCode() == SERVICE_UNAVAILABLE
+                && answer.containsHeader(InternalHeaders.SHED);
+    }
+
+    private void addLoad(Call call) {
+        admission
+                .report(call.target().id(), System.nanoTime())
+                .ifPresent(
+                        report ->
+                                call.response()
+                                        .setHeader(
+                                                InternalHeaders.LOAD,
+                                                new LoadHeader(
+                                                                clock.bootId(),
+                                                                clock.millis(),
+                                                                report)
+                                                        .encode()));
+    }
+
+    private TicketResult fail(Call call, ForwardResult.Failed failed) throws IOException {
+        EventLog.warning("target_failed")
+                .with("exchange", call.exchange())
+                .with("target", call.target().id())
+                .with("outcome", failed.outcome())
+                .with("detail", failed.detail())
+                .write();
+        addLoad(call);
+        return switch (failed.outcome()) {
+            case Outcome.NotRun(RefusalReason reason) -> {
+                refuse(call.response(), reason, 0);
+                yield TicketResult.NOT_RUN;
+            }
             case Outcome.Unknown unknown -> {
                 metrics.unknown(Side.HOST, unknown.cause());
-                AnswerWriter.unknown(response, unknown);
+                AnswerWriter.unknown(call.response(), unknown);
+                yield TicketResult.FAILED;
             }
             case Outcome.Completed completed ->
                     throw new IllegalArgumentException("a completed request did not fail");
-        }
+        };
     }
 
-    private void refuse(HttpServletResponse response, RefusalReason reason) throws IOException {
+    private void refuse(HttpServletResponse response, RefusalReason reason, long retryAfterMillis)
+            throws IOException {
         metrics.refused(Side.HOST, reason);
-        AnswerWriter.refuse(response, reason, RETRY_AFTER_SECONDS);
+        AnswerWriter.refuse(response, reason, retryAfterMillis);
+    }
+
+    private static String header(HttpServletRequest request, String name) {
+        String value = request.getHeader(name);
+        return value == null ? "" : value;
+    }
+
+    private static long longHeader(HttpServletRequest request, String name) {
+        try {
+            return Long.parseLong(header(request, name));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/InFlight.java
@@ -0,0 +1,71 @@
+package org.azureshed.proxy;
+
+import jakarta.servlet.http.HttpServletRequest;
+import java.util.Optional;
+import org.azureshed.model.UnknownCause;
+
+/** One request that is waiting for its answer or passing it on. */
+final class InFlight implements AutoCloseable {
+    private final ExchangeMonitor monitor;
+    private final CancellableRequest request;
+    private final TcpPorts caller;
+    private final long startNanos;
+    private volatile long progressNanos;
+    private volatile UnknownCause cancelCause;
+
+    /**
+     * The ports of a connection on this machine.
+     *
+     * @param local port of the listener
+     * @param remote port of the peer
+     */
+    record TcpPorts(int local, int remote) {}
+
+    InFlight(
+            ExchangeMonitor monitor,
+            CancellableRequest request,
+            HttpServletRequest from,
+            long nowNanos) {
+        this.monitor = monitor;
+        this.request = request;
+        this.caller = new TcpPorts(from.getLocalPort(), from.getRemotePort());
+        this.startNanos = nowNanos;
+        this.progressNanos = nowNanos;
+    }
+
+    TcpPorts caller() {
+        return caller;
+    }
+
+    long startNanos() {
+        return startNanos;
+    }
+
+    long progressNanos() {
+        return progressNanos;
+    }
+
+    /** Records that bytes of the request or of the answer have moved. */
+    void progressed() {
+        progressNanos = System.nanoTime();
+    }
+
+    void cancel(UnknownCause cause) {
+        cancelCause = cause;
+        request.cancel();
+    }
+
+    /**
+     * Why this node cancelled the request.
+     *
+     * @return the cause, or empty if it was not cancelled
+     */
+    Optional<UnknownCause> cancelCause() {
+        return Optional.ofNullable(cancelCause);
+    }
+
+    @Override
+    public void close() {
+        monitor.remove(this);
+    }
+}
--- a/src/main/java/org/azureshed/proxy/InternalHeaders.java
+++ b/src/main/java/org/azureshed/proxy/InternalHeaders.java
@@ -17,6 +17,9 @@
     /** Service of the route. */
     public static final String SERVICE = PREFIX + "Service";
 
+    /** Id of the route. */
+    public static final String ROUTE = PREFIX + "Route";
+
     /** Name of the request class. */
     public static final String CLASS = PREFIX + "Class";
 
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/LoadHeader.java
@@ -0,0 +1,61 @@
+package org.azureshed.proxy;
+
+import com.google.common.base.Splitter;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.azureshed.admission.LoadReport;
+import org.azureshed.model.TargetState;
+
+/**
+ * Value of the {@code Azureshed-Load} header, for example {@code
+ * boot=1700000000000;clock=5123;in=2;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20}.
+ *
+ * @param bootId incarnation of the host's process
+ * @param clockMillis the host's monotonic clock in milliseconds
+ * @param report load of the target
+ */
+record LoadHeader(long bootId, long clockMillis, LoadReport report) {
+    String encode() {
+        return "boot=%d;clock=%d;in=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d"
+                .formatted(
+                        bootId,
+                        clockMillis,
+                        report.inFlight(),
+                        report.slots(),
+                        report.queued(),
+                        report.state().name().toLowerCase(Locale.ROOT),
+                        report.medianServiceMicros(),
+                        report.errorShare(),
+                        report.samples());
+    }
+
+    /**
+     * Parses a header value.
+     *
+     * @param value the value
+     * @return the report, or empty if it is malformed
+     */
+    static Optional<LoadHeader> parse(String value) {
+        try {
+            Map<String, String> fields =
+                    Splitter.on(';').withKeyValueSeparator('=').split(value);
+            LoadReport report =
+                    new LoadReport(
+                            Integer.parseInt(fields.get("in")),
+                            Integer.parseInt(fields.get("slots")),
+                            Integer.parseInt(fields.get("queued")),
+                            TargetState.valueOf(fields.get("state").toUpperCase(Locale.ROOT)),
+                            Long.parseLong(fields.get("median")),
+                            Double.parseDouble(fields.get("errors")),
+                            Integer.parseInt(fields.get("n")));
+            return Optional.of(
+                    new LoadHeader(
+                            Long.parseLong(fields.get("boot")),
+                            Long.parseLong(fields.get("clock")),
+                            report));
+        } catch (IllegalArgumentException | NullPointerException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/org/azureshed/proxy/RequestBody.java
+++ b/src/main/java/org/azureshed/proxy/RequestBody.java
@@ -1,5 +1,6 @@
 package org.azureshed.proxy;
 
+import jakarta.servlet.http.HttpServletRequest;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -7,6 +8,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
+import org.azureshed.model.RefusalReason;
 
 /**
  * Body of a request of which the first part is held in memory.
@@ -21,32 +23,44 @@
     private final byte[] prefix;
     private final InputStream rest;
     private final long length;
-    private boolean restSent;
+    private final long maxBytes;
+    private volatile boolean restRead;
 
-    private RequestBody(byte[] prefix, InputStream rest, long length) {
+    private RequestBody(byte[] prefix, InputStream rest, long length, long maxBytes) {
         this.prefix = prefix;
         this.rest = rest;
         this.length = length;
+        this.maxBytes = maxBytes;
     }
 
     /**
      * Reads the first part of a body.
      *
-     * @param input the body
-     * @param length its length in bytes, or -1 if it is not known
+     * @param request the request
+     * @param maxBytes largest body in bytes; a larger one fails while it is streamed
      * @return the body
-     * @throws IOException if the caller's connection fails
+     * @throws CallerBodyException if the caller's connection fails
      */
-    static RequestBody read(InputStream input, long length) throws IOException {
-        byte[] prefix = input.readNBytes(BUFFER_BYTES);
-        boolean complete = prefix.length < BUFFER_BYTES || prefix.length == length;
-        return new RequestBody(prefix, complete ? null : input, complete ? prefix.length : length);
+    static RequestBody read(HttpServletRequest request, long maxBytes) throws CallerBodyException {
+        try {
+            InputStream input = request.getInputStream();
+            long length = request.getContentLengthLong();
+            byte[] prefix = input.readNBytes(BUFFER_BYTES);
+            boolean complete = prefix.length < BUFFER_BYTES || prefix.length == length;
+            return complete
+                    ? new RequestBody(prefix, null, prefix.length, maxBytes)
+                    : new RequestBody(prefix, input, length, maxBytes);
+        } catch (IOException e) {
+            throw new CallerBodyException(RefusalReason.BODY_TOO_SLOW, e);
+        }
     }
 
+    /** Whether the whole body can be sent from its start. */
     boolean replayable() {
-        return rest == null || !restSent;
+        return !restRead;
     }
 
+    /** Whether the body is larger than the buffer. */
     boolean large() {
         return rest != null;
     }
@@ -58,27 +72,52 @@
     /**
      * The entity of one attempt.
      *
+     * @param progress called after each read of the streamed part
      * @return the entity, or null if the body is empty
      */
-    HttpEntity entity() {
+    HttpEntity entity(Runnable progress) {
         if (rest == null) {
             return prefix.length == 0 ? null : new ByteArrayEntity(prefix, null);
         }
-        InputStream tail =
-                new InputStream() {
-                    @Override
-                    public int read() throws IOException {
-                        restSent = true;
-                        return rest.read();
-                    }
-
-                    @Override
-                    public int read(byte[] buffer, int offset, int count) throws IOException {
-                        restSent = true;
-                        return rest.read(buffer, offset, count);
-                    }
-                };
-        InputStream whole = new SequenceInputStream(new ByteArrayInputStream(prefix), tail);
+        InputStream whole =
+                new SequenceInputStream(new ByteArrayInputStream(prefix), new Rest(progress));
         return new InputStreamEntity(whole, length, null);
     }
+
+    /** The part of the body after the prefix. */
+    private final class Rest extends InputStream {
+        private final Runnable progress;
+        private long total = prefix.length;
+
+        Rest(Runnable progress) {
+            this.progress = progress;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : Byte.toUnsignedInt(one[0]);
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int count) throws IOException {
+            restRead = true;
+            int read = readFromCaller(buffer, offset, count);
+            total += Math.max(read, 0);
+            if (total > maxBytes) {
+                throw new CallerBodyException(RefusalReason.BODY_LIMIT, null);
+            }
+            progress.run();
+            return read;
+        }
+
+        private int readFromCaller(byte[] buffer, int offset, int count)
+                throws CallerBodyException {
+            try {
+                return rest.read(buffer, offset, count);
+            } catch (IOException e) {
+                throw new CallerBodyException(RefusalReason.BODY_TOO_SLOW, e);
+            }
+        }
+    }
 }
--- a/src/main/java/org/azureshed/proxy/Requests.java
+++ b/src/main/java/org/azureshed/proxy/Requests.java
@@ -7,10 +7,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.apache.hc.core5.http.ClassicHttpRequest;
-import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
 /** Builds the outgoing form of a received request. */
 final class Requests {
@@ -21,14 +18,13 @@
      *
      * @param from the request received
      * @param keep which headers to copy besides those of one connection
-     * @param entity the body, or null
-     * @return the request to send
+     * @return the request to send, without a body
      */
-    static ClassicHttpRequest copy(
-            HttpServletRequest from, Predicate<String> keep, HttpEntity entity) {
+    static CancellableRequest copy(
+            HttpServletRequest from, Predicate<String> keep) {
         String query = from.getQueryString();
         String path = from.getRequestURI() + (query == null ? "" : "?" + query);
-        BasicClassicHttpRequest to = new BasicClassicHttpRequest(from.getMethod(), path);
+        CancellableRequest to = new CancellableRequest(from.getMethod(), path);
         Set<String> connectionHeaders = connectionHeaders(from);
         for (String name : Collections.list(from.getHeaderNames())) {
             boolean listed = connectionHeaders.contains(name.toLowerCase(Locale.ROOT));
@@ -36,7 +32,6 @@
                 Collections.list(from.getHeaders(name)).forEach(value -> to.addHeader(name, value));
             }
         }
-        to.setEntity(entity);
         return to;
     }
 
--- a/src/main/java/org/azureshed/proxy/SentMarker.java
+++ b/src/main/java/org/azureshed/proxy/SentMarker.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
@@ -19,7 +20,11 @@
 
     private final Timeout bodyIdleTimeout;
 
-    SentMarker(Timeout bodyIdleTimeout) {
+    SentMarker(Timeout waitForContinue, Timeout bodyIdleTimeout) {
+        super(
+                Http1Config.custom().setWaitForContinueTimeout(waitForContinue).build(),
+                null,
+                null);
         this.bodyIdleTimeout = bodyIdleTimeout;
     }
 
--- a/src/main/java/org/azureshed/proxy/TrafficServlet.java
+++ b/src/main/java/org/azureshed/proxy/TrafficServlet.java
@@ -30,10 +30,16 @@
     @Override
     protected void service(HttpServletRequest request, HttpServletResponse response)
             throws IOException {
-        if (request.getLocalPort() == hostPort) {
-            host.handle(request, response);
-        } else {
-            entry.handle(request, response);
+        try {
+            if (request.getLocalPort() == hostPort) {
+                host.handle(request, response);
+            } else {
+                entry.handle(request, response);
+            }
+        } catch (CallerBodyException e) {
+            if (!response.isCommitted()) {
+                AnswerWriter.refuse(response, e.reason(), 0);
+            }
         }
     }
 }
