--- a/src/main/java/org/azureshed/control/ControlLoop.java
+++ b/src/main/java/org/azureshed/control/ControlLoop.java
@@ -28,7 +28,7 @@
      *
      * @param reducer computes the steps
      * @param initial the first state
-     * @param effectHandler carries out effects other than snapshots
+     * @param effectHandler carries out effects; a snapshot is published before it is called
      */
     public ControlLoop(
             ControlReducer reducer, ControlState initial, Consumer<Effect> effectHandler) {
@@ -89,9 +89,8 @@
         for (Effect effect : step.effects()) {
             if (effect instanceof Effect.PublishSnapshot(Snapshot published)) {
                 snapshot = published;
-            } else {
-                effectHandler.accept(effect);
             }
+            effectHandler.accept(effect);
         }
     }
 
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -4,6 +4,7 @@
 import com.google.inject.Provides;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import jakarta.inject.Singleton;
+import org.azureshed.admission.Admission;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
@@ -37,6 +38,12 @@
         return new HttpObjectStore(settings.platform());
     }
 
+    @Provides
+    @Singleton
+    Admission admission() {
+        return new Admission();
+    }
+
     @Provides
     @Singleton
     ControlLoop controlLoop(NodeInfo self, NodeShell shell) {
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -2,8 +2,12 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import java.util.Map;
+import org.azureshed.admission.Admission;
 import org.azureshed.control.ActivePreset;
 import org.azureshed.control.Effect;
+import org.azureshed.control.Snapshot;
+import org.azureshed.model.ServicePolicy;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
 
@@ -12,10 +16,13 @@
 final class NodeShell {
     private final SelfPublisher publisher;
     private final NodeWatcher nodes;
+    private final Admission admission;
     private final FleetMetrics metrics;
 
     @Inject
-    NodeShell(SelfPublisher publisher, NodeWatcher nodes, FleetMetrics metrics) {
+    NodeShell(
+            SelfPublisher publisher, NodeWatcher nodes, Admission admission, FleetMetrics metrics) {
+        this.admission = admission;
         this.publisher = publisher;
         this.nodes = nodes;
         this.metrics = metrics;
@@ -36,12 +43,16 @@
         switch (effect) {
             case Effect.PublishSelf(var self) -> publisher.publish(self);
             case Effect.PresetInForce(ActivePreset active) -> logActivation(active);
-            case Effect.PublishSnapshot snapshot -> {
-                // The control loop publishes snapshots itself.
-            }
+            case Effect.PublishSnapshot(Snapshot snapshot) -> applyToAdmission(snapshot);
         }
     }
 
+    private void applyToAdmission(Snapshot snapshot) {
+        Map<String, ServicePolicy> policies =
+                snapshot.active().map(active -> active.preset().services()).orElse(Map.of());
+        admission.apply(snapshot.self().targets(), policies, System.nanoTime());
+    }
+
     private void logActivation(ActivePreset active) {
         metrics.activation(active.number());
         EventLog.info("preset_in_force")
--- a/src/main/java/org/azureshed/proxy/AnswerWriter.java
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -64,24 +64,31 @@
      *
      * @param entity the body, or null
      * @param to the answer to send
-     * @param progress called after each part
+     * @param inFlight the request that the body answers
      * @throws IOException if either connection fails
      */
-    static void copyBody(HttpEntity entity, HttpServletResponse to, Runnable progress)
+    static void copyBody(HttpEntity entity, HttpServletResponse to, InFlight inFlight)
             throws IOException {
         if (entity == null) {
             return;
         }
-        to.flushBuffer();
+        try {
+            to.flushBuffer();
+            copy(entity.getContent(), to.getOutputStream(), inFlight);
+        } catch (IOException e) {
+            inFlight.cancel(UnknownCause.CALLER_GONE);
+            throw e;
+        }
+    }
+
+    private static void copy(InputStream input, OutputStream output, InFlight inFlight)
+            throws IOException {
         byte[] buffer = new byte[COPY_BUFFER_BYTES];
-        OutputStream output = to.getOutputStream();
-        try (InputStream input = entity.getContent()) {
-            int count;
-            while ((count = input.read(buffer)) >= 0) {
-                output.write(buffer, 0, count);
-                output.flush();
-                progress.run();
-            }
+        int count;
+        while ((count = input.read(buffer)) >= 0) {
+            output.write(buffer, 0, count);
+            output.flush();
+            inFlight.progressed();
         }
     }
 
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -152,11 +152,11 @@
                 .write();
     }
 
-    private Outcome relay(
-            Call call, String exchange, ClassicHttpResponse answer, InFlight inFlight)
+    private Outcome relay(Call call, String exchange, ClassicHttpResponse answer, InFlight inFlight)
             throws IOException {
         try (answer) {
             if (!exchange.equals(value(answer, InternalHeaders.EXCHANGE))) {
+                inFlight.cancel(UnknownCause.EXCHANGE_MISMATCH);
                 return new Outcome.Unknown(UnknownCause.EXCHANGE_MISMATCH);
             }
             Optional<Outcome> failure = failureOf(answer);
@@ -165,7 +165,7 @@
             }
             HttpServletResponse response = call.response();
             AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
-            AnswerWriter.copyBody(answer.getEntity(), response, inFlight::progressed);
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight);
             return new Outcome.Completed(answer.getCode());
         }
     }
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -12,6 +12,8 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.azureshed.admission.Admission;
+import org.azureshed.admission.Decision;
+import org.azureshed.admission.Pending;
 import org.azureshed.admission.Refusal;
 import org.azureshed.admission.Request;
 import org.azureshed.admission.Ticket;
@@ -115,8 +117,7 @@
     private void admit(Call call) throws IOException {
         boolean decideFirst = call.request().getHeader(HttpHeaders.EXPECT) != null;
         RequestBody body = decideFirst ? null : read(call);
-        long now = System.nanoTime();
-        switch (admission.admit(call.admissionRequest(), now).await(System::nanoTime)) {
+        switch (awaitSlot(call)) {
             case Refusal(RefusalReason reason, long retryAfterMillis) ->
                     refuse(call.response(), reason, retryAfterMillis);
             case Ticket ticket -> {
@@ -130,6 +131,16 @@
         }
     }
 
+    private Decision awaitSlot(Call call) {
+        Pending pending = admission.admit(call.admissionRequest(), System.nanoTime());
+        try {
+            return pending.await(System::nanoTime);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Refusal(RefusalReason.NODE_DRAINING, 0);
+        }
+    }
+
     private static RequestBody read(Call call) throws CallerBodyException {
         return RequestBody.read(call.request(), Long.MAX_VALUE);
     }
@@ -159,6 +170,7 @@
             throws IOException {
         try (answer) {
             if (!belongsTo(call, answer)) {
+                inFlight.cancel(UnknownCause.EXCHANGE_MISMATCH);
                 Outcome outcome = new Outcome.Unknown(UnknownCause.EXCHANGE_MISMATCH);
                 return fail(call, new ForwardResult.Failed(outcome, "answer of another request"));
             }
@@ -170,7 +182,7 @@
             AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
             response.setHeader(InternalHeaders.OUTCOME, "completed");
             addLoad(call);
-            AnswerWriter.copyBody(answer.getEntity(), response, inFlight::progressed);
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight);
             metrics.completed(Side.HOST, answer.getCode());
             return answer.getCode() < FIRST_SERVER_ERROR
                     ? TicketResult.SUCCEEDED
--- a/src/main/java/org/azureshed/proxy/LoadHeader.java
+++ b/src/main/java/org/azureshed/proxy/LoadHeader.java
@@ -38,8 +38,7 @@
      */
     static Optional<LoadHeader> parse(String value) {
         try {
-            Map<String, String> fields =
-                    Splitter.on(';').withKeyValueSeparator('=').split(value);
+            Map<String, String> fields = Splitter.on(';').withKeyValueSeparator('=').split(value);
             LoadReport report =
                     new LoadReport(
                             Integer.parseInt(fields.get("in")),
--- a/src/main/java/org/azureshed/proxy/RequestGuard.java
+++ b/src/main/java/org/azureshed/proxy/RequestGuard.java
@@ -35,8 +35,7 @@
      */
     Optional<RefusalReason> check(HttpServletRequest request) {
         List<String> lengths = Collections.list(request.getHeaders(HttpHeaders.CONTENT_LENGTH));
-        List<String> codings =
-                Collections.list(request.getHeaders(HttpHeaders.TRANSFER_ENCODING));
+        List<String> codings = Collections.list(request.getHeaders(HttpHeaders.TRANSFER_ENCODING));
         if (lengths.size() > 1 || codings.size() > 1) {
             return Optional.of(RefusalReason.BAD_FRAMING);
         }
--- a/src/main/java/org/azureshed/proxy/Requests.java
+++ b/src/main/java/org/azureshed/proxy/Requests.java
@@ -20,8 +20,7 @@
      * @param keep which headers to copy besides those of one connection
      * @return the request to send, without a body
      */
-    static CancellableRequest copy(
-            HttpServletRequest from, Predicate<String> keep) {
+    static CancellableRequest copy(HttpServletRequest from, Predicate<String> keep) {
         String query = from.getQueryString();
         String path = from.getRequestURI() + (query == null ? "" : "?" + query);
         CancellableRequest to = new CancellableRequest(from.getMethod(), path);
--- a/src/main/java/org/azureshed/proxy/SentMarker.java
+++ b/src/main/java/org/azureshed/proxy/SentMarker.java
@@ -21,10 +21,7 @@
     private final Timeout bodyIdleTimeout;
 
     SentMarker(Timeout waitForContinue, Timeout bodyIdleTimeout) {
-        super(
-                Http1Config.custom().setWaitForContinueTimeout(waitForContinue).build(),
-                null,
-                null);
+        super(Http1Config.custom().setWaitForContinueTimeout(waitForContinue).build(), null, null);
         this.bodyIdleTimeout = bodyIdleTimeout;
     }
 
