Add control transport over Netty with protobuf

Cause: gossip, preset distribution and key claims need connections between nodes. Change: control.proto with one envelope for all of them, committed generated code with a script that renews it, and ControlTransport: one event loop thread, one kept connection per peer, frames of at most 1 MiB, typed errors as values, counted bytes, late replies dropped and counted, bounds on connections, open requests and unsent bytes. Opened connections are idle for 30 s, accepted ones for twice that, so that the side that sends requests closes first. Before: no connection between nodes. Conclusion: other packages can exchange messages by ControlTransport and ControlHandler.

--- /dev/null
+++ b/src/main/java/org/azureshed/transport/InboundConnections.java
@@ -0,0 +1,64 @@
+package org.azureshed.transport;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.azureshed.generated.ControlMessage;
+
+/** Sets up accepted connections and passes their messages to the handler. */
+@Sharable
+final class InboundConnections extends ChannelInitializer<Channel> {
+    private final TransportLimits limits;
+    private final TransportCounters counters;
+    private final ControlHandler handler;
+
+    /** Used on the event loop only. */
+    private int accepted;
+
+    InboundConnections(TransportLimits limits, TransportCounters counters, ControlHandler handler) {
+        this.limits = limits;
+        this.counters = counters;
+        this.handler = handler;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+        if (accepted >= limits.maxInbound()) {
+            counters.rejectedConnections.increment();
+            channel.close();
+            return;
+        }
+        accepted++;
+        channel.closeFuture().addListener(closed -> accepted--);
+        FramePipeline.install(channel, limits.inboundIdle(), counters, new Requests());
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<ControlMessage> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ControlMessage message) {
+            if (message.getReply()) {
+                counters.unknownReplies.increment();
+                return;
+            }
+            long id = message.getRequestId();
+            Channel channel = context.channel();
+            handler.received(message, reply -> respond(channel, id, reply));
+        }
+    }
+
+    private static void respond(Channel channel, long id, ControlMessage reply) {
+        if (id == 0) {
+            return;
+        }
+        ControlMessage numbered = reply.toBuilder().setRequestId(id).setReply(true).build();
+        if (numbered.getSerializedSize() > TransportLimits.MAX_FRAME_BYTES
+                || !channel.isWritable()) {
+            // The peer reads too slowly or would drop the frame; it sees the closed connection.
+            channel.close();
+            return;
+        }
+        channel.writeAndFlush(numbered);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/transport/TransportCounters.java
@@ -0,0 +1,69 @@
+package org.azureshed.transport;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts what passes through a transport since it was created. */
+public final class TransportCounters {
+    final LongAdder bytesSent = new LongAdder();
+    final LongAdder bytesReceived = new LongAdder();
+    final LongAdder unknownReplies = new LongAdder();
+    final LongAdder oversizedFrames = new LongAdder();
+    final LongAdder malformedFrames = new LongAdder();
+    final LongAdder rejectedConnections = new LongAdder();
+
+    TransportCounters() {}
+
+    /**
+     * Bytes written to connections, with frame lengths but without TCP and IP headers.
+     *
+     * @return the number of bytes
+     */
+    public long bytesSent() {
+        return bytesSent.sum();
+    }
+
+    /**
+     * Bytes read from connections, with frame lengths but without TCP and IP headers.
+     *
+     * @return the number of bytes
+     */
+    public long bytesReceived() {
+        return bytesReceived.sum();
+    }
+
+    /**
+     * Replies that were dropped because no open request has their id, mostly late ones.
+     *
+     * @return the number of replies
+     */
+    public long unknownReplies() {
+        return unknownReplies.sum();
+    }
+
+    /**
+     * Connections closed because a peer announced a frame above the limit.
+     *
+     * @return the number of frames
+     */
+    public long oversizedFrames() {
+        return oversizedFrames.sum();
+    }
+
+    /**
+     * Connections closed because a frame was no valid message.
+     *
+     * @return the number of frames
+     */
+    public long malformedFrames() {
+        return malformedFrames.sum();
+    }
+
+    /**
+     * Connections closed at once because too many were open.
+     *
+     * @return the number of connections
+     */
+    public long rejectedConnections() {
+        return rejectedConnections.sum();
+    }
+}
