--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -68,6 +68,8 @@
                 .addServlet("prometheus", injector.getInstance(MetricsServlet.class))
                 .addMapping("/metrics");
         environment.healthChecks().register("node", injector.getInstance(NodeHealthCheck.class));
+        NodeShutdown shutdown = injector.getInstance(NodeShutdown.class);
+        environment.lifecycle().addServerLifecycleListener(shutdown::install);
         ControlLoop control = injector.getInstance(ControlLoop.class);
         control.start();
         injector.getInstance(NodeShell.class).start();
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -16,12 +16,14 @@
 final class NodeShell {
     private final SelfPublisher publisher;
     private final NodeWatcher nodes;
+    private final PresetWatcher presets;
     private final Admission admission;
     private final FleetMetrics metrics;
 
     @Inject
     NodeShell(
             SelfPublisher publisher, NodeWatcher nodes, Admission admission, FleetMetrics metrics) {
+        this.presets = presets;
         this.admission = admission;
         this.publisher = publisher;
         this.nodes = nodes;
@@ -32,6 +34,7 @@
     void start() {
         Thread.ofVirtual().name("self-publisher").start(publisher::run);
         Thread.ofVirtual().name("node-watcher").start(nodes::run);
+        Thread.ofVirtual().name("preset-watcher").start(presets::run);
     }
 
     /**
--- a/src/main/java/org/azureshed/node/SelfPublisher.java
+++ b/src/main/java/org/azureshed/node/SelfPublisher.java
@@ -24,7 +24,8 @@
     private final ObjectStore store;
     private final NodeInfoCodec codec = new NodeInfoCodec();
     private final AtomicReference<NodeInfo> pending = new AtomicReference<>();
-    private long knownVersion = ObjectStore.MUST_NOT_EXIST;
+    private volatile NodeInfo last;
+    private volatile long knownVersion = ObjectStore.MUST_NOT_EXIST;
 
     @Inject
     SelfPublisher(ObjectStore store) {
@@ -32,12 +33,27 @@
     }
 
     void publish(NodeInfo self) {
+        last = self;
         pending.set(self);
         synchronized (pending) {
             pending.notifyAll();
         }
     }
 
+    /** Deletes this node's record, once; a failure is logged only. */
+    void withdraw() {
+        NodeInfo self = last;
+        if (self == null || knownVersion == ObjectStore.MUST_NOT_EXIST) {
+            return;
+        }
+        store.delete(new ObjectKey(NodeWatcher.KIND, self.id().value()), knownVersion)
+                .peekLeft(
+                        error ->
+                                EventLog.warning("withdraw_failed")
+                                        .with("error", error.message())
+                                        .write());
+    }
+
     /** Writes records until the thread is interrupted. */
     void run() {
         long delay = MIN_DELAY_MILLIS;
--- a/src/main/java/org/azureshed/proxy/TrafficServlet.java
+++ b/src/main/java/org/azureshed/proxy/TrafficServlet.java
@@ -6,6 +6,8 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.azureshed.control.ControlLoop;
 import org.azureshed.model.NodeInfo;
 
 /**
@@ -18,10 +20,19 @@
 
     private final transient EntryHandler entry;
     private final transient HostHandler host;
+    private final transient ActiveRequests requests;
+    private final transient ControlLoop control;
     private final int hostPort;
 
     @Inject
-    TrafficServlet(EntryHandler entry, HostHandler host, NodeInfo self) {
+    TrafficServlet(
+            EntryHandler entry,
+            HostHandler host,
+            ActiveRequests requests,
+            ControlLoop control,
+            NodeInfo self) {
+        this.requests = requests;
+        this.control = control;
         this.entry = entry;
         this.host = host;
         this.hostPort = self.host().port();
@@ -30,7 +41,11 @@
     @Override
     protected void service(HttpServletRequest request, HttpServletResponse response)
             throws IOException {
+        requests.begin();
         try {
+            if (control.snapshot().self().draining()) {
+                response.setHeader(HttpHeaders.CONNECTION, "close");
+            }
             if (request.getLocalPort() == hostPort) {
                 host.handle(request, response);
             } else {
@@ -40,6 +55,8 @@
             if (!response.isCommitted()) {
                 AnswerWriter.refuse(response, e.reason(), 0);
             }
+        } finally {
+            requests.end();
         }
     }
 }
