Add target choice, path health, retry budget and organisation limits

Cause: the entry side has to choose targets on load reports that are always a little old, and must not amplify failures or eject capacity on its own view. Change: TargetPicker (two weighted choices in a rendezvous subset of size 350 x targets / entry nodes, at least 4), PathHealth (backoff, half-open probes, floor), RetryBudget and OrganisationLimiter.

--- /dev/null
+++ b/src/main/java/org/azureshed/routing/Subset.java
@@ -0,0 +1,55 @@
+package org.azureshed.routing;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+import org.azureshed.model.NodeId;
+
+/** Chooses the targets that one entry node uses, the same ones as long as they are ready. */
+final class Subset {
+    /** Connections that an instance of today's services accepts. */
+    private static final int CONNECTIONS_PER_INSTANCE = 350;
+
+    /** Two choices need alternatives when some targets are tried, avoided or ejected. */
+    static final int MINIMUM_SIZE = 4;
+
+    private Subset() {}
+
+    /**
+     * Number of targets in a subset. If every entry node keeps one connection to each of them, an
+     * instance has about {@value #CONNECTIONS_PER_INSTANCE}: size = 350 x targets / entry nodes, at
+     * least {@value #MINIMUM_SIZE}. For 56 instances and 2,400 entry nodes it is 8.
+     */
+    static int size(int targets, int entryNodes) {
+        long size = (long) CONNECTIONS_PER_INSTANCE * targets / Math.max(1, entryNodes);
+        return (int) Math.min(targets, Math.max(MINIMUM_SIZE, size));
+    }
+
+    /** Takes the targets with the highest rendezvous hash of entry node and target. */
+    static List<Candidate> of(NodeId self, List<Candidate> ready, int entryNodes) {
+        int size = size(ready.size(), entryNodes);
+        if (size == ready.size()) {
+            return List.copyOf(ready);
+        }
+        return ready.stream()
+                .map(candidate -> new Ranked(candidate, rank(self, candidate)))
+                .sorted(Comparator.comparingLong(Ranked::rank).reversed())
+                .limit(size)
+                .map(Ranked::candidate)
+                .toList();
+    }
+
+    private static long rank(NodeId self, Candidate candidate) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putString(self.value(), StandardCharsets.UTF_8)
+                .putChar('|')
+                .putString(candidate.target().id().value(), StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+
+    /** A candidate with its hash. */
+    private record Ranked(Candidate candidate, long rank) {}
+}
--- /dev/null
+++ b/src/test/java/org/azureshed/routing/LimitsTest.java
@@ -0,0 +1,185 @@
+package org.azureshed.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.OrganisationLimit;
+import org.azureshed.model.RefusalReason;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against retry storms, capacity below the floor and unbounded organisation state. */
+class LimitsTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final PathHealth health = new PathHealth();
+    private final List<Candidate> fleet = Fleet.of(10);
+    private long now = TimeUnit.HOURS.toNanos(1);
+
+    @ParameterizedTest
+    @CsvSource({"10,10000", "0,1000", "50,5000", "10,5"})
+    void retriesStayWithinTheirShareWhenEverythingFails(int percent, int requestsPerSecond) {
+        RetryBudget budget = new RetryBudget(now);
+        int seconds = 10;
+        int requests = requestsPerSecond * seconds;
+        int retries = 0;
+        for (int i = 0; i < requests; i++) {
+            now += SECOND / requestsPerSecond;
+            budget.requestStarted(percent);
+            while (budget.tryRetry(now)) {
+                retries++;
+            }
+        }
+        double bound = requests * percent / 100.0 + RetryBudget.MINIMUM_PER_SECOND * seconds + 20;
+        assertTrue(retries <= bound, retries + " above " + bound);
+        assertTrue(retries >= seconds - 1, "the minimum is available: " + retries);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 30, 50, 60, 100})
+    void badPathsNeverTakeTheServiceBelowItsFloor(int floorPercent) {
+        fleet.forEach(candidate -> turnBad(candidate.node().id()));
+
+        Set<NodeId> avoided = avoided(floorPercent, false);
+
+        int left = fleet.size() - avoided.size();
+        assertTrue(left * 10 >= floorPercent, left + " left");
+        assertTrue(left >= 1);
+        assertEquals(Math.max(1, (floorPercent + 9) / 10), left);
+    }
+
+    @Test
+    void ejectedTargetsDoNotCountAsServing() {
+        for (int i = 0; i < 4; i++) {
+            turnBad(new NodeId("n" + i));
+        }
+        // t4 to t9 are ejected, so only the targets behind bad paths can serve.
+        Set<NodeId> avoided =
+                health.avoided(
+                        fleet, id -> id.value().compareTo("t4") >= 0 ? 0 : 100, 40, false, now);
+        assertEquals(Set.of(), avoided);
+    }
+
+    @Test
+    void aBadPathIsProbedByOneIdempotentRequestAfterItsBackoff() {
+        NodeId node = new NodeId("n0");
+        health.failed(node, 0, now);
+        health.failed(node, 0, now);
+        assertEquals(Set.of(), avoided(50, true));
+        health.failed(node, 0, now);
+        assertEquals(Set.of(node), avoided(50, true));
+
+        now += SECOND;
+        assertEquals(Set.of(node), avoided(50, false));
+        assertEquals(Set.of(), avoided(50, true));
+        health.started(node, now);
+        assertEquals(Set.of(node), avoided(50, true));
+        health.answered(node, 10, 5, 0, now);
+        health.started(node, now);
+        health.answered(node, 10, 5, 0, now);
+        assertEquals(Set.of(), avoided(50, false));
+    }
+
+    @Test
+    void theBackoffDoublesWithEachFailedProbe() {
+        NodeId node = new NodeId("n0");
+        turnBad(node);
+        long last = 0;
+        for (int i = 0; i < 4; i++) {
+            long waited = 0;
+            while (!avoided(50, true).isEmpty()) {
+                now += SECOND / 100;
+                waited += SECOND / 100;
+            }
+            assertTrue(waited > 1.5 * last, waited + " after " + last);
+            last = waited;
+            health.started(node, now);
+            health.failed(node, 0, now);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"500,400,false", "1500,100,true", "150,100,false", "200,10,true"})
+    void aPathIsBadWhenItsTimeIsFarAboveTheHostsOwn(long path, long host, boolean bad) {
+        for (int i = 0; i < PathHealth.BAD_AFTER; i++) {
+            health.answered(
+                    new NodeId("n0"),
+                    TimeUnit.MILLISECONDS.toNanos(path),
+                    TimeUnit.MILLISECONDS.toNanos(host),
+                    0,
+                    now);
+        }
+        assertEquals(bad, !health.badPaths().isEmpty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void randomEventsKeepTheFloor(long seed) {
+        Random random = new Random(seed);
+        for (int i = 0; i < 5_000; i++) {
+            now += random.nextLong(SECOND / 2);
+            NodeId node = new NodeId("n" + random.nextInt(10));
+            health.started(node, now);
+            if (random.nextInt(3) > 0) {
+                health.failed(node, random.nextLong(), now);
+            } else {
+                health.answered(node, 10, 5, random.nextLong(), now);
+            }
+            assertTrue(avoided(60, random.nextBoolean()).size() <= 4);
+        }
+    }
+
+    @Test
+    void rateAndConcurrencyAreLimited() {
+        OrganisationLimiter limiter = new OrganisationLimiter();
+        OrganisationLimit limit = new OrganisationLimit(10, 4);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(Optional.empty(), limiter.tryAcquire("o", limit, now));
+        }
+        assertEquals(
+                Optional.of(RefusalReason.ORGANISATION_CONCURRENCY),
+                limiter.tryAcquire("o", limit, now));
+        for (int i = 0; i < 6; i++) {
+            limiter.release("o");
+            assertEquals(Optional.empty(), limiter.tryAcquire("o", limit, now));
+        }
+        limiter.release("o");
+        assertEquals(
+                Optional.of(RefusalReason.ORGANISATION_RATE), limiter.tryAcquire("o", limit, now));
+        assertEquals(Optional.empty(), limiter.tryAcquire("o", limit, now + SECOND / 10));
+    }
+
+    @Test
+    void idleOrganisationsAreForgottenAndBusyOnesAreNot() {
+        OrganisationLimiter limiter = new OrganisationLimiter(1_600);
+        OrganisationLimit limit = new OrganisationLimit(1, 1);
+        limiter.tryAcquire("busy", limit, now);
+        for (int i = 0; i < 71_000; i++) {
+            String name = "o" + i;
+            limiter.tryAcquire(name, limit, now);
+            limiter.release(name);
+        }
+        assertTrue(limiter.size() <= 1_616, "entries " + limiter.size());
+        assertFalse(limiter.tryAcquire("busy", limit, now + 10 * SECOND).isEmpty());
+    }
+
+    private void turnBad(NodeId node) {
+        for (int i = 0; i < PathHealth.BAD_AFTER; i++) {
+            health.failed(node, i * 7919L << 40, now);
+        }
+    }
+
+    private Set<NodeId> avoided(int floorPercent, boolean idempotent) {
+        return new HashSet<>(health.avoided(fleet, id -> 100, floorPercent, idempotent, now));
+    }
+}
