Route through pickers, path health, retry budgets and organisation limits

Change: TargetChooser holds a picker and a retry budget for each service and the health of paths; load reports ride on answers.

--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -65,7 +65,13 @@
             addCandidates(node, candidates);
         }
         candidates.replaceAll((service, list) -> List.copyOf(list));
-        return new Snapshot(self, active, routes, java.util.Map.copyOf(candidates));
+        return new Snapshot(
+                self,
+                active,
+                routes,
+                java.util.Map.copyOf(candidates),
+                nodes.size() + 1,
+                java.util.Map.of());
     }
 
     private static void addCandidates(
--- a/src/main/java/org/azureshed/control/Snapshot.java
+++ b/src/main/java/org/azureshed/control/Snapshot.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetId;
+import org.azureshed.model.TargetInfo;
 import org.azureshed.routing.Candidate;
 import org.azureshed.routing.RouteTable;
 
@@ -15,12 +16,28 @@
  * @param active the preset in force, or empty before the first one is known
  * @param routes routes of the preset in force
  * @param candidates targets by service
+ * @param nodeCount number of known nodes, with this one
+ * @param weights weights in percent of ejected targets and of those in readmission
  */
 public record Snapshot(
         NodeInfo self,
         Optional<ActivePreset> active,
         RouteTable routes,
-        Map<String, List<Candidate>> candidates) {
+        Map<String, List<Candidate>> candidates,
+        int nodeCount,
+        Map<TargetId, Integer> weights) {
+    private static final int FULL_WEIGHT = 100;
+
+    /**
+     * The share of its usual requests that a target shall get.
+     *
+     * @param target the target
+     * @return percent, 0 if the target is ejected
+     */
+    public int weightPercent(TargetId target) {
+        return weights.getOrDefault(target, FULL_WEIGHT);
+    }
+
     /**
      * The targets of a service, in any state.
      *
@@ -37,7 +54,7 @@
      * @param id the target
      * @return the target, or empty if this node does not host it
      */
-    public Optional<org.azureshed.model.TargetInfo> hosted(TargetId id) {
+    public Optional<TargetInfo> hosted(TargetId id) {
         return self.targets().stream().filter(target -> target.id().equals(id)).findFirst();
     }
 }
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -22,7 +22,11 @@
 
     @Inject
     NodeShell(
-            SelfPublisher publisher, NodeWatcher nodes, Admission admission, FleetMetrics metrics) {
+            SelfPublisher publisher,
+            NodeWatcher nodes,
+            PresetWatcher presets,
+            Admission admission,
+            FleetMetrics metrics) {
         this.presets = presets;
         this.admission = admission;
         this.publisher = publisher;
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -5,10 +5,8 @@
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.azureshed.model.NodeInfo;
@@ -18,6 +16,7 @@
 import org.azureshed.model.TargetId;
 import org.azureshed.model.UnknownCause;
 import org.azureshed.routing.Candidate;
+import org.azureshed.routing.Pick;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
 
@@ -30,13 +29,16 @@
 final class Dispatcher {
     private static final int MAX_ATTEMPTS = 3;
 
+    private final TargetChooser chooser;
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
     private final ForwardClient client;
     private final ExchangeIds exchangeIds;
 
     @Inject
-    Dispatcher(FleetMetrics metrics, ExchangeMonitor monitor, NodeInfo self) {
+    Dispatcher(
+            TargetChooser chooser, FleetMetrics metrics, ExchangeMonitor monitor, NodeInfo self) {
+        this.chooser = chooser;
         this.metrics = metrics;
         this.monitor = monitor;
         this.client =
@@ -53,21 +55,25 @@
      * @throws IOException if the answer broke off after its head was sent to the caller
      */
     Outcome dispatch(Call call) throws IOException {
+        chooser.requestStarted(call);
         Set<TargetId> tried = new HashSet<>();
         Outcome last = new Outcome.NotRun(RefusalReason.NO_TARGET);
         for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
             if (call.timeLeft().isNegative()) {
                 return attempt == 1 ? new Outcome.NotRun(RefusalReason.DEADLINE_EXCEEDED) : last;
             }
-            Optional<Candidate> candidate = pick(call, tried);
-            if (candidate.isEmpty()) {
+            if (attempt > 1 && !chooser.tryRetry(call)) {
+                return last;
+            }
+            Optional<Pick> pick = chooser.choose(call, tried);
+            if (pick.isEmpty()) {
                 return last;
             }
             if (attempt > 1) {
                 metrics.retried(retryReason(last));
             }
-            tried.add(candidate.get().target().id());
-            last = attempt(call, candidate.get(), attempt);
+            tried.add(pick.get().candidate().target().id());
+            last = attempt(call, pick.get(), attempt);
             if (!retryable(call, last)) {
                 return last;
             }
@@ -93,20 +99,11 @@
         };
     }
 
-    private static Optional<Candidate> pick(Call call, Set<TargetId> tried) {
-        List<Candidate> ready =
-                call.snapshot().candidatesOf(call.route().service()).stream()
-                        .filter(Candidate::ready)
-                        .filter(candidate -> !tried.contains(candidate.target().id()))
-                        .toList();
-        return ready.isEmpty()
-                ? Optional.empty()
-                : Optional.of(ready.get(ThreadLocalRandom.current().nextInt(ready.size())));
-    }
-
-    private Outcome attempt(Call call, Candidate candidate, int attempt) throws IOException {
+    private Outcome attempt(Call call, Pick pick, int attempt) throws IOException {
+        Candidate candidate = pick.candidate();
         String exchange = exchangeIds.next();
         CancellableRequest request = request(call, candidate, exchange, attempt);
+        long sent = System.nanoTime();
         try (InFlight inFlight = monitor.watch(request, call.request())) {
             ForwardResult result =
                     client.send(
@@ -117,16 +114,30 @@
                             call.timeLeft(),
                             inFlight);
             return switch (result) {
-                case ForwardResult.Answer(ClassicHttpResponse answer) ->
-                        relay(call, exchange, answer, inFlight);
+                case ForwardResult.Answer(ClassicHttpResponse answer) -> {
+                    LoadHeader.parse(value(answer, InternalHeaders.LOAD))
+                            .ifPresent(load -> chooser.answered(pick, load, sent));
+                    yield relay(call, exchange, answer, inFlight);
+                }
                 case ForwardResult.Failed(Outcome outcome, String detail) -> {
                     logFailure(exchange, candidate, outcome, detail);
+                    if (blamesPath(outcome)) {
+                        chooser.failed(candidate.node().id());
+                    }
                     yield outcome;
                 }
             };
+        } finally {
+            pick.finish();
         }
     }
 
+    /** A caller that went away or sent no complete body says nothing about the path. */
+    private static boolean blamesPath(Outcome outcome) {
+        return !(outcome instanceof Outcome.Unknown(UnknownCause cause))
+                || (cause != UnknownCause.CALLER_GONE && cause != UnknownCause.REQUEST_ABORTED);
+    }
+
     private static CancellableRequest request(
             Call call, Candidate candidate, String exchange, int attempt) {
         CancellableRequest request =
--- a/src/main/java/org/azureshed/proxy/EntryHandler.java
+++ b/src/main/java/org/azureshed/proxy/EntryHandler.java
@@ -8,10 +8,12 @@
 import java.util.Optional;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
+import org.azureshed.model.OrganisationLimit;
 import org.azureshed.model.Outcome;
 import org.azureshed.model.Preset;
 import org.azureshed.model.RefusalReason;
 import org.azureshed.model.Route;
+import org.azureshed.routing.OrganisationLimiter;
 import org.azureshed.telemetry.FleetMetrics;
 import org.azureshed.telemetry.FleetMetrics.Side;
 
@@ -20,13 +22,23 @@
 final class EntryHandler {
     private static final long MAX_BODY_BYTES = 8L << 30;
 
+    /** Each request needs about 50 KB of buffers, and a node has 256 MB in all. */
+    private static final int MAX_REQUESTS = 1_000;
+
     private final ControlLoop control;
     private final Dispatcher dispatcher;
+    private final ActiveRequests active;
     private final FleetMetrics metrics;
+    private final OrganisationLimiter organisations = new OrganisationLimiter();
     private final RequestGuard guard = new RequestGuard(MAX_BODY_BYTES);
 
     @Inject
-    EntryHandler(ControlLoop control, Dispatcher dispatcher, FleetMetrics metrics) {
+    EntryHandler(
+            ControlLoop control,
+            Dispatcher dispatcher,
+            ActiveRequests active,
+            FleetMetrics metrics) {
+        this.active = active;
         this.control = control;
         this.dispatcher = dispatcher;
         this.metrics = metrics;
@@ -34,7 +46,10 @@
 
     void handle(HttpServletRequest request, HttpServletResponse response) throws IOException {
         long start = System.nanoTime();
-        Optional<RefusalReason> refusal = guard.check(request);
+        Optional<RefusalReason> refusal =
+                active.count() > MAX_REQUESTS
+                        ? Optional.of(RefusalReason.NODE_OVERLOADED)
+                        : guard.check(request);
         if (refusal.isPresent()) {
             refuse(response, refusal.get());
             return;
@@ -66,7 +81,32 @@
             long start)
             throws IOException {
         Preset preset = snapshot.active().orElseThrow().preset();
-        String organisation = request.getHeader(preset.organisationHeader());
+        String header = request.getHeader(preset.organisationHeader());
+        String organisation = header == null ? "" : header;
+        OrganisationLimit limit =
+                preset.organisations().getOrDefault(organisation, preset.defaultLimit());
+        Optional<RefusalReason> refusal =
+                organisations.tryAcquire(organisation, limit, System.nanoTime());
+        if (refusal.isPresent()) {
+            refuse(response, refusal.get());
+            return;
+        }
+        try {
+            dispatch(request, response, snapshot, route, organisation, start);
+        } finally {
+            organisations.release(organisation);
+        }
+    }
+
+    private void dispatch(
+            HttpServletRequest request,
+            HttpServletResponse response,
+            Snapshot snapshot,
+            Route route,
+            String organisation,
+            long start)
+            throws IOException {
+        Preset preset = snapshot.active().orElseThrow().preset();
         RequestBody body = RequestBody.read(request, guard.maxBodyBytes());
         Call call =
                 new Call(
@@ -75,7 +115,7 @@
                         snapshot,
                         route,
                         preset.classes().get(route.requestClass()),
-                        organisation == null ? "" : organisation,
+                        organisation,
                         body,
                         start);
         answer(call, dispatcher.dispatch(call));
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -70,7 +70,12 @@
             HttpServletResponse response,
             String exchange,
             TargetInfo target,
-            Request admissionRequest) {
+            Request admissionRequest,
+            long startNanos) {
+        long spentMicros() {
+            return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+        }
+
         Duration timeLeft() {
             return Duration.ofNanos(admissionRequest.deadlineNanos() - System.nanoTime());
         }
@@ -99,7 +104,7 @@
                         header(request, InternalHeaders.ROUTE),
                         header(request, InternalHeaders.ORGANISATION),
                         start + TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
-        admit(new Call(request, response, exchange, target.get(), admissionRequest));
+        admit(new Call(request, response, exchange, target.get(), admissionRequest, start));
         metrics.observeDuration(Side.HOST, System.nanoTime() - start);
     }
 
@@ -118,8 +123,10 @@
         boolean decideFirst = call.request().getHeader(HttpHeaders.EXPECT) != null;
         RequestBody body = decideFirst ? null : read(call);
         switch (awaitSlot(call)) {
-            case Refusal(RefusalReason reason, long retryAfterMillis) ->
-                    refuse(call.response(), reason, retryAfterMillis);
+            case Refusal(RefusalReason reason, long retryAfterMillis) -> {
+                addLoad(call);
+                refuse(call.response(), reason, retryAfterMillis);
+            }
             case Ticket ticket -> {
                 TicketResult result = TicketResult.FAILED;
                 try {
@@ -212,7 +219,8 @@
                                                 new LoadHeader(
                                                                 clock.bootId(),
                                                                 clock.millis(),
-                                                                report)
+                                                                report,
+                                                                call.spentMicros())
                                                         .encode()));
     }
 
--- a/src/main/java/org/azureshed/proxy/LoadHeader.java
+++ b/src/main/java/org/azureshed/proxy/LoadHeader.java
@@ -4,20 +4,27 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.azureshed.admission.LoadReport;
 import org.azureshed.model.TargetState;
 
 /**
  * Value of the {@code Azureshed-Load} header, for example {@code
- * boot=1700000000000;clock=5123;in=2;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20}.
+ * boot=1700000000000;clock=5123;in=2;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20;spent=9100}.
  *
  * @param bootId incarnation of the host's process
  * @param clockMillis the host's monotonic clock in milliseconds
  * @param report load of the target
+ * @param spentMicros time that the host side itself spent on the request until the head of its
+ *     answer, in microseconds
  */
-record LoadHeader(long bootId, long clockMillis, LoadReport report) {
+record LoadHeader(long bootId, long clockMillis, LoadReport report, long spentMicros) {
+    long spentNanos() {
+        return TimeUnit.MICROSECONDS.toNanos(spentMicros);
+    }
+
     String encode() {
-        return "boot=%d;clock=%d;in=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d"
+        return "boot=%d;clock=%d;in=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d;spent=%d"
                 .formatted(
                         bootId,
                         clockMillis,
@@ -27,7 +34,8 @@
                         report.state().name().toLowerCase(Locale.ROOT),
                         report.medianServiceMicros(),
                         report.errorShare(),
-                        report.samples());
+                        report.samples(),
+                        spentMicros);
     }
 
     /**
@@ -52,7 +60,8 @@
                     new LoadHeader(
                             Long.parseLong(fields.get("boot")),
                             Long.parseLong(fields.get("clock")),
-                            report));
+                            report,
+                            Long.parseLong(fields.get("spent"))));
         } catch (IllegalArgumentException | NullPointerException e) {
             return Optional.empty();
         }
--- /dev/null
+++ b/src/main/java/org/azureshed/proxy/TargetChooser.java
@@ -0,0 +1,118 @@
+package org.azureshed.proxy;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.azureshed.control.Snapshot;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.ServicePolicy;
+import org.azureshed.model.TargetId;
+import org.azureshed.routing.Candidate;
+import org.azureshed.routing.PathHealth;
+import org.azureshed.routing.Pick;
+import org.azureshed.routing.PickRequest;
+import org.azureshed.routing.RetryBudget;
+import org.azureshed.routing.TargetPicker;
+
+/** Holds the routing state of this entry side: one picker and retry budget for each service. */
+@Singleton
+final class TargetChooser {
+    private final NodeInfo self;
+    private final PathHealth paths = new PathHealth();
+    private final Map<String, ServiceState> services = new ConcurrentHashMap<>();
+
+    @Inject
+    TargetChooser(NodeInfo self) {
+        this.self = self;
+    }
+
+    private record ServiceState(TargetPicker picker, RetryBudget budget) {}
+
+    private ServiceState state(Call call) {
+        return services.computeIfAbsent(
+                call.route().service(),
+                service ->
+                        new ServiceState(
+                                new TargetPicker(self), new RetryBudget(System.nanoTime())));
+    }
+
+    private static ServicePolicy policy(Call call) {
+        return call.snapshot()
+                .active()
+                .orElseThrow()
+                .preset()
+                .services()
+                .get(call.route().service());
+    }
+
+    /** Counts a request towards the retry budget of its service. */
+    void requestStarted(Call call) {
+        state(call).budget().requestStarted(policy(call).retryPercent());
+    }
+
+    /** Takes a retry from the budget of the request's service, if there is one left. */
+    boolean tryRetry(Call call) {
+        return state(call).budget().tryRetry(System.nanoTime());
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param call the request
+     * @param tried targets of earlier attempts
+     * @return the choice, to be finished when the attempt has ended
+     */
+    Optional<Pick> choose(Call call, Set<TargetId> tried) {
+        Snapshot snapshot = call.snapshot();
+        List<Candidate> candidates = snapshot.candidatesOf(call.route().service());
+        long now = System.nanoTime();
+        Set<NodeId> avoided =
+                paths.avoided(
+                        candidates,
+                        snapshot::weightPercent,
+                        policy(call).floorPercent(),
+                        call.requestClass().idempotent(),
+                        now);
+        PickRequest request =
+                new PickRequest(
+                        candidates, snapshot.nodeCount(), tried, avoided, snapshot::weightPercent);
+        Optional<Pick> pick =
+                state(call).picker().pick(request, ThreadLocalRandom.current().nextLong(), now);
+        pick.ifPresent(chosen -> paths.started(chosen.candidate().node().id(), now));
+        return pick;
+    }
+
+    /**
+     * Records the head of an answer.
+     *
+     * @param pick the choice
+     * @param load load report of the answer
+     * @param sentNanos when the request was sent
+     */
+    void answered(Pick pick, LoadHeader load, long sentNanos) {
+        long now = System.nanoTime();
+        pick.report(load.report(), now);
+        paths.answered(
+                pick.candidate().node().id(),
+                now - sentNanos,
+                load.spentNanos(),
+                ThreadLocalRandom.current().nextLong(),
+                now);
+    }
+
+    /** Records that a node could not be reached or did not answer in time. */
+    void failed(NodeId node) {
+        paths.failed(node, ThreadLocalRandom.current().nextLong(), System.nanoTime());
+    }
+
+    /** Nodes whose path is bad in this node's own view. */
+    Set<NodeId> badPaths() {
+        return paths.badPaths();
+    }
+}
