--- a/src/main/java/org/azureshed/preset/PresetProblem.java
+++ b/src/main/java/org/azureshed/preset/PresetProblem.java
@@ -12,6 +12,8 @@
 public record PresetProblem(Kind kind, String file, String path, String detail, String remedy) {
     /** Sorts of faults. */
     public enum Kind {
+        /** The file cannot be read. */
+        UNREADABLE,
         /** The file is not JSON. */
         MALFORMED_JSON,
         /** The format does not have the field. */
