Wire the command line and run the small fleet end to end

Cause: presets could not be changed from the command line. Change: Main uses the operator commands and environment options; status command; watch timeout of 20 s, since the stand-in closes a connection that is idle for 30 s and the watch then failed.

--- a/src/main/java/org/azureshed/cli/Main.java
+++ b/src/main/java/org/azureshed/cli/Main.java
@@ -14,7 +14,8 @@
     private Main() {}
 
     /**
-     * Runs one command and exits with its code: 0 success, 1 failure, 2 wrong usage.
+     * Runs one command and exits with its code: 0 success, 1 failure, 2 wrong usage, 3 unknown
+     * outcome of a change.
      *
      * @param args the command line
      */
@@ -22,11 +23,14 @@
         System.exit(run(args));
     }
 
+    @SuppressWarnings("rawtypes")
     private static int run(String[] args) {
         Callable<?> command;
         try {
-            command = cli().parse(args);
-        } catch (ParseException e) {
+            Cli<Callable> cli = cli();
+            command =
+                    cli.parse(EnvironmentOptions.expand(cli.getMetadata(), args, System.getenv()));
+        } catch (ParseException | IllegalArgumentException e) {
             System.err.println("azureshed: " + e.getMessage() + "; see azureshed help");
             return USAGE;
         }
@@ -41,13 +45,17 @@
         }
     }
 
-    @SuppressWarnings({"unchecked", "rawtypes"})
+    @SuppressWarnings("rawtypes")
     private static Cli<Callable> cli() {
         CliBuilder<Callable> builder =
                 Cli.<Callable>builder("azureshed")
                         .withDescription("Proxy fleet for targets with gray failures")
                         .withDefaultCommand(Help.class)
-                        .withCommands(Help.class, NodeCommand.class, SampleTargetCommand.class);
+                        .withCommand(Help.class)
+                        .withCommand(NodeCommand.class)
+                        .withCommand(SampleTargetCommand.class)
+                        .withCommand(StatusCommand.class);
+        Commands.addTo(builder);
         return builder.build();
     }
 }
--- a/src/main/java/org/azureshed/node/NodeWatcher.java
+++ b/src/main/java/org/azureshed/node/NodeWatcher.java
@@ -23,7 +23,7 @@
 final class NodeWatcher {
     static final String KIND = "node";
 
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
     private static final long RETRY_MILLIS = 1_000;
 
     private final ObjectStore store;
--- a/src/main/java/org/azureshed/node/PresetWatcher.java
+++ b/src/main/java/org/azureshed/node/PresetWatcher.java
@@ -28,7 +28,7 @@
 /** Follows the preset index of the platform and reads the preset in force. */
 @Singleton
 final class PresetWatcher {
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
     private static final long RETRY_MILLIS = 1_000;
 
     private final ObjectStore store;
