--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -6,10 +6,13 @@
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
 import java.io.ByteArrayInputStream;
+import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
+import org.azureshed.control.Snapshot;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.proxy.TrafficServlet;
 import org.azureshed.telemetry.EventLog;
+import org.eclipse.jetty.server.Server;
 import org.glassfish.jersey.server.ResourceConfig;
 import org.glassfish.jersey.servlet.ServletContainer;
 
@@ -20,8 +23,11 @@
  * new NodeApplication(settings).run();
  * }</pre>
  */
-public final class NodeApplication extends Application<NodeConfiguration> {
+public final class NodeApplication extends Application<NodeConfiguration> implements AutoCloseable {
     private final NodeSettings settings;
+    private volatile Server server;
+    private volatile ControlLoop control;
+    private volatile NodeShell shell;
 
     /**
      * Creates a node that is not running yet.
@@ -69,13 +75,46 @@
                 .addMapping("/metrics");
         environment.healthChecks().register("node", injector.getInstance(NodeHealthCheck.class));
         NodeShutdown shutdown = injector.getInstance(NodeShutdown.class);
+        JsonErrorHandler errors = injector.getInstance(JsonErrorHandler.class);
+        environment
+                .lifecycle()
+                .addServerLifecycleListener(
+                        started -> {
+                            started.setErrorHandler(errors);
+                            server = started;
+                        });
         environment.lifecycle().addServerLifecycleListener(shutdown::install);
-        ControlLoop control = injector.getInstance(ControlLoop.class);
+        control = injector.getInstance(ControlLoop.class);
         control.start();
-        injector.getInstance(NodeShell.class).start();
+        shell = injector.getInstance(NodeShell.class);
+        shell.start();
         logStart(injector.getInstance(NodeInfo.class));
     }
 
+    NodeSettings settings() {
+        return settings;
+    }
+
+    Snapshot snapshot() {
+        return control.snapshot();
+    }
+
+    void announce(TargetAnnouncement announcement) {
+        control.submit(new ControlEvent.TargetAnnounced(announcement.toTarget()));
+    }
+
+    /**
+     * Closes the listeners at once, without the planned stop of a process.
+     *
+     * @throws Exception if the server does not stop
+     */
+    @Override
+    public void close() throws Exception {
+        shell.stop();
+        control.stop();
+        server.stop();
+    }
+
     private void logStart(NodeInfo self) {
         EventLog.info("node_started")
                 .with("node", self.id())
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -2,6 +2,8 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.azureshed.admission.Admission;
 import org.azureshed.control.ActivePreset;
@@ -19,6 +21,7 @@
     private final PresetWatcher presets;
     private final Admission admission;
     private final FleetMetrics metrics;
+    private final List<Thread> threads = new ArrayList<>();
 
     @Inject
     NodeShell(
@@ -36,9 +39,18 @@
 
     /** Starts the background threads. */
     void start() {
-        Thread.ofVirtual().name("self-publisher").start(publisher::run);
-        Thread.ofVirtual().name("node-watcher").start(nodes::run);
-        Thread.ofVirtual().name("preset-watcher").start(presets::run);
+        startThread("self-publisher", publisher::run);
+        startThread("node-watcher", nodes::run);
+        startThread("preset-watcher", presets::run);
+    }
+
+    private void startThread(String name, Runnable work) {
+        threads.add(Thread.ofVirtual().name(name).start(work));
+    }
+
+    /** Stops the background threads. */
+    void stop() {
+        threads.forEach(Thread::interrupt);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -0,0 +1,119 @@
+package org.azureshed.node;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.Preset;
+import org.azureshed.platform.HttpObjectStore;
+import org.azureshed.platform.ObjectStore;
+import org.azureshed.preset.ChangeRequest;
+import org.azureshed.preset.PresetCodec;
+import org.azureshed.preset.PresetOperations;
+import org.azureshed.standin.PlatformStandIn;
+
+/** A platform stand-in and nodes in the test's own process, with the example preset in force. */
+public final class FleetInProcess implements AutoCloseable {
+    private static final long AWAIT_MILLIS = 20_000;
+    private static final long POLL_MILLIS = 20;
+
+    private final PlatformStandIn platform = new PlatformStandIn(0);
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    /** Starts the platform and puts the preset of {@code examples/ordinary.json} in force. */
+    public FleetInProcess() throws IOException {
+        platform.start();
+        byte[] json = Files.readAllBytes(Path.of("examples", "ordinary.json"));
+        Preset preset = PresetCodec.decode("ordinary.json", json).get();
+        PresetOperations operations = PresetOperations.of(store());
+        operations.put(preset, ChangeRequest.of("test", "set-up")).get();
+        operations.use(preset.name(), ChangeRequest.of("test", "set-up")).get();
+    }
+
+    /** A client of the platform. */
+    public ObjectStore store() {
+        return new HttpObjectStore(platform.uri());
+    }
+
+    /** Starts a node and waits until it has the preset. */
+    public NodeSettings startNode(String id) throws Exception {
+        NodeSettings settings =
+                new NodeSettings(
+                        new NodeId(id),
+                        "region-1",
+                        "zone-" + id,
+                        "127.0.0.1",
+                        freePort(),
+                        freePort(),
+                        freePort(),
+                        "127.0.0.1",
+                        freePort(),
+                        platform.uri());
+        NodeApplication node = new NodeApplication(settings);
+        node.run();
+        parts.add(node);
+        await(() -> node.snapshot().active().isPresent(), "preset on node " + id);
+        return settings;
+    }
+
+    /** Announces a target that listens on a port of this machine, and waits for the node. */
+    public void announce(NodeSettings node, String id, String service, int port, int slots)
+            throws Exception {
+        NodeApplication application =
+                parts.stream()
+                        .filter(NodeApplication.class::isInstance)
+                        .map(NodeApplication.class::cast)
+                        .filter(candidate -> candidate.settings().equals(node))
+                        .findFirst()
+                        .orElseThrow();
+        application.announce(
+                new TargetAnnouncement(id, service, "127.0.0.1:" + port, slots, "ready"));
+        for (AutoCloseable part : parts) {
+            if (part instanceof NodeApplication other) {
+                await(() -> knows(other, service, id), "target " + id);
+            }
+        }
+    }
+
+    private static boolean knows(NodeApplication node, String service, String target) {
+        return node.snapshot().candidatesOf(service).stream()
+                .anyMatch(candidate -> candidate.target().id().value().equals(target));
+    }
+
+    /** Waits for a condition, and fails with its name. */
+    public static void await(BooleanSupplier condition, String what) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("timed out waiting for " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
+    /** A port that was free a moment ago. */
+    public static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** The entry listener of a node. */
+    public static URI entry(NodeSettings node) {
+        return URI.create("http://127.0.0.1:" + node.entryPort());
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable part : parts.reversed()) {
+            part.close();
+        }
+        platform.close();
+    }
+}
