Report slots held by long work and choose targets by the rest

Cause: a target whose slots were all held by surveys declared short looked no busier than others, so short work waited there for seconds. Change: the load report carries the slots charged to the long lane, the picker compares short work on the remaining slots, and a gate without any expects its short waiters to wait for a long request. PickRequest says whether the request is long.

--- a/src/main/java/org/azureshed/admission/LoadReport.java
+++ b/src/main/java/org/azureshed/admission/LoadReport.java
@@ -6,6 +6,7 @@
  * What the host side tells entry sides of a target, for the {@code Azureshed-Load} header.
  *
  * @param inFlight requests that hold a slot
+ * @param longInFlight those of them that are charged to the long lane
  * @param slots announced slots
  * @param queued requests that wait for a slot
  * @param state state of the target; draining if its node is
@@ -16,6 +17,7 @@
  */
 public record LoadReport(
         int inFlight,
+        int longInFlight,
         int slots,
         int queued,
         TargetState state,
--- a/src/main/java/org/azureshed/admission/TargetGate.java
+++ b/src/main/java/org/azureshed/admission/TargetGate.java
@@ -105,6 +105,7 @@
                 completions ->
                         new LoadReport(
                                 inFlight(),
+                                longInFlight,
                                 info.slots(),
                                 queue.size(),
                                 closedReason.isPresent() && info.state() == TargetState.READY
@@ -233,12 +234,15 @@
         return lane == Lane.SHORT ? Math.min(times.meanNanos(lane), deadlineLeft / 2.0) : 0;
     }
 
+    /** Short work has the slots that long work leaves; without any it waits for a long request. */
     private double expectedWaitNanos(Lane lane, int ahead) {
-        int servers =
-                lane == Lane.SHORT
-                        ? Math.max(1, info.slots() - longInFlight)
-                        : longLaneSlots(info.slots(), longLanePercent);
-        return (ahead + 1) * times.meanNanos(lane) / servers;
+        int shortSlots = info.slots() - longInFlight;
+        if (lane == Lane.SHORT && shortSlots > 0) {
+            return (ahead + 1) * times.meanNanos(Lane.SHORT) / shortSlots;
+        }
+        int slots =
+                lane == Lane.SHORT ? info.slots() : longLaneSlots(info.slots(), longLanePercent);
+        return (ahead + 1) * times.meanNanos(Lane.LONG) / slots;
     }
 
     private Refusal refusal(RefusalReason reason, Lane lane) {
--- a/src/main/java/org/azureshed/bench/Chooser.java
+++ b/src/main/java/org/azureshed/bench/Chooser.java
@@ -14,10 +14,12 @@
      *
      * @param candidates all targets, the same list as long as nothing has changed
      * @param tried targets of earlier attempts
+     * @param longRunning whether the request is declared as long work
      * @param nowNanos virtual time
      * @return the choice; empty if none is left
      */
-    Optional<Choice> choose(List<Candidate> candidates, Set<TargetId> tried, long nowNanos);
+    Optional<Choice> choose(
+            List<Candidate> candidates, Set<TargetId> tried, boolean longRunning, long nowNanos);
 
     /** A chosen target. */
     interface Choice {
--- a/src/main/java/org/azureshed/bench/LeastOutstanding.java
+++ b/src/main/java/org/azureshed/bench/LeastOutstanding.java
@@ -19,7 +19,8 @@
     }
 
     @Override
-    public Optional<Choice> choose(List<Candidate> candidates, Set<TargetId> tried, long nowNanos) {
+    public Optional<Choice> choose(
+            List<Candidate> candidates, Set<TargetId> tried, boolean longRunning, long nowNanos) {
         Candidate best = null;
         int fewest = Integer.MAX_VALUE;
         start++;
--- a/src/main/java/org/azureshed/bench/PickerChooser.java
+++ b/src/main/java/org/azureshed/bench/PickerChooser.java
@@ -27,9 +27,11 @@
     }
 
     @Override
-    public Optional<Choice> choose(List<Candidate> candidates, Set<TargetId> tried, long nowNanos) {
+    public Optional<Choice> choose(
+            List<Candidate> candidates, Set<TargetId> tried, boolean longRunning, long nowNanos) {
         PickRequest request =
-                new PickRequest(candidates, entryNodes, tried, Set.of(), id -> FULL_WEIGHT);
+                new PickRequest(
+                        candidates, entryNodes, tried, Set.of(), longRunning, id -> FULL_WEIGHT);
         return picker.pick(request, random.nextLong(), nowNanos).map(Picked::new);
     }
 
--- a/src/main/java/org/azureshed/bench/RoundRobin.java
+++ b/src/main/java/org/azureshed/bench/RoundRobin.java
@@ -16,7 +16,8 @@
     }
 
     @Override
-    public Optional<Choice> choose(List<Candidate> candidates, Set<TargetId> tried, long nowNanos) {
+    public Optional<Choice> choose(
+            List<Candidate> candidates, Set<TargetId> tried, boolean longRunning, long nowNanos) {
         for (int i = 0; i < candidates.size(); i++) {
             Candidate candidate = candidates.get(next++ % candidates.size());
             if (candidate.ready() && !tried.contains(candidate.target().id())) {
--- a/src/main/java/org/azureshed/bench/Scenario.java
+++ b/src/main/java/org/azureshed/bench/Scenario.java
@@ -22,6 +22,8 @@
  * @param policy the service's policy
  * @param streams requests of each kind
  * @param demand demand at the peaks, as a multiple of the capacity of the healthy targets
+ * @param measuredFromSeconds when measuring begins, to leave out a peak in which classes are
+ *     learned
  */
 record Scenario(
         String name,
@@ -35,7 +37,8 @@
         long otherZoneNanos,
         ServicePolicy policy,
         List<Stream> streams,
-        double demand) {
+        double demand,
+        double measuredFromSeconds) {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final double QUIET_DEMAND = 0.5;
@@ -77,7 +80,8 @@
                 otherZoneNanos,
                 policy,
                 streams,
-                newDemand);
+                newDemand,
+                measuredFromSeconds);
     }
 
     /** Slots of the healthy targets. */
@@ -93,12 +97,17 @@
 
     /** Whether requests arriving at a time are measured: those at the peaks. */
     boolean measured(long nanos) {
-        return peakShare((double) nanos / SECOND) >= 1;
+        double seconds = (double) nanos / SECOND;
+        return seconds >= measuredFromSeconds && peakShare(seconds) >= 1;
     }
 
     /** Length of the measured time. */
     double measuredSeconds() {
-        return PEAK_STARTS.length * (PEAK_SECONDS - 2 * RAMP_SECONDS);
+        double seconds = 0;
+        for (double start : PEAK_STARTS) {
+            seconds += start >= measuredFromSeconds ? PEAK_SECONDS - 2 * RAMP_SECONDS : 0;
+        }
+        return seconds;
     }
 
     /** All requests, in order of arrival within each stream. */
--- a/src/main/java/org/azureshed/bench/Simulation.java
+++ b/src/main/java/org/azureshed/bench/Simulation.java
@@ -82,7 +82,12 @@
 
     private void attempt(SimulatedRequest request, Set<TargetId> tried) {
         Optional<Chooser.Choice> choice =
-                entries.get(request.entry()).choose(candidates, tried, time.now());
+                entries.get(request.entry())
+                        .choose(
+                                candidates,
+                                tried,
+                                request.requestClass().longRunning(),
+                                time.now());
         if (choice.isEmpty()) {
             ended(request, true);
             return;
--- a/src/main/java/org/azureshed/routing/PickRequest.java
+++ b/src/main/java/org/azureshed/routing/PickRequest.java
@@ -14,6 +14,7 @@
  * @param entryNodes number of nodes whose entry side sends to the service
  * @param tried targets that earlier attempts of the request used
  * @param avoided nodes that {@link PathHealth} avoids
+ * @param longRunning whether the request is declared as long work
  * @param weightPercent weight of a target from 0 (ejected) to 100
  */
 public record PickRequest(
@@ -21,4 +22,5 @@
         int entryNodes,
         Set<TargetId> tried,
         Set<NodeId> avoided,
+        boolean longRunning,
         ToIntFunction<TargetId> weightPercent) {}
--- a/src/main/java/org/azureshed/routing/TargetLoad.java
+++ b/src/main/java/org/azureshed/routing/TargetLoad.java
@@ -17,6 +17,10 @@
     private static final long SLOW_START_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private static final double SLOW_START_WEIGHT = 0.1;
+
+    /** Stands for no slot at all, so that the load is large but finite. */
+    private static final double NO_SLOT = 0.1;
+
     private static final int MIN_SAMPLES = 4;
     private static final double ERROR_COST = 10;
 
@@ -57,16 +61,24 @@
         return Math.min(1, SLOW_START_WEIGHT + (1 - SLOW_START_WEIGHT) * Math.max(0, progress));
     }
 
-    /** Requests per slot, tending to the average as the report ages. */
-    double loadPerSlot(int slots, double averageLoad, long nowNanos) {
+    /** Requests per usable slot, tending to the average as the report ages. */
+    double loadPerSlot(int slots, double averageLoad, boolean longRunning, long nowNanos) {
         double weight = report == null ? 0 : age(nowNanos, LOAD_AGE_NANOS);
-        double reported = weight == 0 ? 0 : reportedLoad();
+        double reported = weight == 0 ? 0 : longRunning ? reportedLongLoad() : reportedLoad();
         double estimate = weight * reported + (1 - weight) * averageLoad;
         return Math.max((double) outstanding / slots, estimate + (double) sentSinceReport / slots);
     }
 
+    /** Load of the slots that long work leaves to short work. */
     double reportedLoad() {
-        return (double) (report.inFlight() + report.queued()) / Math.max(1, report.slots());
+        double shortSlots = Math.max(NO_SLOT, report.slots() - report.longInFlight());
+        return (report.inFlight() - report.longInFlight() + report.queued() + NO_SLOT) / shortSlots;
+    }
+
+    /** Long work competes with long work first, and with short work for free slots. */
+    double reportedLongLoad() {
+        return (double) (report.inFlight() + report.longInFlight() + report.queued())
+                / Math.max(1, report.slots());
     }
 
     /**
--- a/src/main/java/org/azureshed/routing/TargetPicker.java
+++ b/src/main/java/org/azureshed/routing/TargetPicker.java
@@ -155,8 +155,8 @@
         if (second < 0) {
             return Optional.of(from.get(first));
         }
-        double one = expectedNanos(from.get(first), nowNanos);
-        double other = expectedNanos(from.get(second), nowNanos);
+        double one = expectedNanos(from.get(first), request, nowNanos);
+        double other = expectedNanos(from.get(second), request, nowNanos);
         other *= 1 + NOISE * (2 * random.nextDouble() - 1);
         return Optional.of(from.get(one <= other ? first : second));
     }
@@ -193,9 +193,11 @@
         return last;
     }
 
-    private double expectedNanos(Candidate candidate, long nowNanos) {
+    private double expectedNanos(Candidate candidate, PickRequest request, long nowNanos) {
         TargetLoad load = loads.get(candidate.target().id());
-        double perSlot = load.loadPerSlot(candidate.target().slots(), averageLoad, nowNanos);
+        double perSlot =
+                load.loadPerSlot(
+                        candidate.target().slots(), averageLoad, request.longRunning(), nowNanos);
         double way = candidate.node().availabilityZone().equals(zone) ? 0 : OTHER_ZONE_NANOS;
         double service = load.serviceNanos(averageServiceNanos, nowNanos);
         return service * (1 + perSlot) + way;
