Add membership reducer with gossip, failure detection and urgent pushes

Cause: nodes have to learn records and drains from each other, also while the platform is away, within 4 KB/s for each node. Suspects and ejection notices use the same pushes.

--- /dev/null
+++ b/src/main/java/org/azureshed/membership/MembershipEffect.java
@@ -0,0 +1,103 @@
+package org.azureshed.membership;
+
+import java.util.List;
+import org.azureshed.generated.Activation;
+import org.azureshed.generated.ControlMessage;
+import org.azureshed.generated.GossipDeltas;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+
+/** What has to be carried out for the membership reducer. */
+public sealed interface MembershipEffect {
+    /**
+     * Sends a request and submits {@link MembershipEvent.ReplyReceived} or {@link
+     * MembershipEvent.RequestFailed}.
+     *
+     * @param to where to
+     * @param message the request
+     * @param purpose to be returned with the result
+     * @param timeoutMillis longest wait in milliseconds
+     */
+    record Request(Endpoint to, ControlMessage message, RequestPurpose purpose, long timeoutMillis)
+            implements MembershipEffect {}
+
+    /**
+     * Sends a message that needs no reply.
+     *
+     * @param to where to
+     * @param message the message
+     */
+    record Send(Endpoint to, ControlMessage message) implements MembershipEffect {}
+
+    /**
+     * Replies to a request.
+     *
+     * @param replyToken token of {@link MembershipEvent.MessageReceived}
+     * @param message the reply
+     */
+    record Reply(long replyToken, ControlMessage message) implements MembershipEffect {}
+
+    /**
+     * The view of the other nodes changed.
+     *
+     * @param updated new or changed records
+     * @param removed nodes that left the view
+     */
+    record ViewChanged(List<NodeInfo> updated, List<NodeId> removed) implements MembershipEffect {
+        /** Copies the lists. */
+        public ViewChanged {
+            updated = List.copyOf(updated);
+            removed = List.copyOf(removed);
+        }
+    }
+
+    /**
+     * A peer became reachable or unreachable in this node's own view.
+     *
+     * @param peer the peer
+     * @param reachable the new state
+     */
+    record ReachabilityChanged(NodeId peer, boolean reachable) implements MembershipEffect {}
+
+    /**
+     * This node's own record got a new version, because a peer had another one.
+     *
+     * @param self the new record, to be published
+     */
+    record SelfRepaired(NodeInfo self) implements MembershipEffect {}
+
+    /**
+     * Another process uses this node's id.
+     *
+     * @param other its record
+     */
+    record DuplicateNodeId(NodeInfo other) implements MembershipEffect {}
+
+    /**
+     * Deletes the record of an unreachable node from the platform if it still has this version, and
+     * submits {@link MembershipEvent.RecordDeleted} once it is gone.
+     *
+     * @param id the node
+     * @param incarnation incarnation that the record must have
+     * @param sequence sequence that the record must have
+     */
+    record DeleteRecord(NodeId id, long incarnation, long sequence) implements MembershipEffect {}
+
+    /**
+     * New poison suspects or ejection notices arrived.
+     *
+     * @param deltas the records, without nodes
+     */
+    record SpreadReceived(GossipDeltas deltas) implements MembershipEffect {}
+
+    /**
+     * A peer told which preset is in force there.
+     *
+     * @param peer the peer
+     * @param endpoint its control address
+     * @param activation what it told
+     */
+    record ActivationHeard(NodeId peer, Endpoint endpoint, Activation activation)
+            implements MembershipEffect {}
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/membership/MembershipEvent.java
@@ -0,0 +1,94 @@
+package org.azureshed.membership;
+
+import java.util.List;
+import org.azureshed.generated.Activation;
+import org.azureshed.generated.ControlMessage;
+import org.azureshed.generated.GossipDeltas;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+
+/** Input of the membership reducer. */
+public sealed interface MembershipEvent {
+    /**
+     * A gossip round is due; submitted once a second.
+     *
+     * @param nowMillis this node's monotonic clock in milliseconds
+     * @param seed random number
+     */
+    record GossipDue(long nowMillis, long seed) implements MembershipEvent {}
+
+    /**
+     * This node's own record changed.
+     *
+     * @param self the new record
+     */
+    record SelfChanged(NodeInfo self) implements MembershipEvent {}
+
+    /** This node is about to exit and will not be back under its incarnation. */
+    record SelfLeaving() implements MembershipEvent {}
+
+    /**
+     * Records were read from the platform.
+     *
+     * @param nodes the records
+     */
+    record RecordsRead(List<NodeInfo> nodes) implements MembershipEvent {
+        /** Copies the list. */
+        public RecordsRead {
+            nodes = List.copyOf(nodes);
+        }
+    }
+
+    /**
+     * A record was deleted from the platform.
+     *
+     * @param id the node
+     * @param incarnation incarnation of the deleted record
+     * @param sequence sequence of the deleted record
+     */
+    record RecordDeleted(NodeId id, long incarnation, long sequence) implements MembershipEvent {}
+
+    /**
+     * A peer sent a message.
+     *
+     * @param message the message
+     * @param replyToken names the request in {@link MembershipEffect.Reply}
+     */
+    record MessageReceived(ControlMessage message, long replyToken) implements MembershipEvent {}
+
+    /**
+     * A reply to a request of this node arrived.
+     *
+     * @param purpose purpose of the request
+     * @param reply the reply
+     */
+    record ReplyReceived(RequestPurpose purpose, ControlMessage reply) implements MembershipEvent {}
+
+    /**
+     * A request of this node got no reply.
+     *
+     * @param purpose purpose of the request
+     */
+    record RequestFailed(RequestPurpose purpose) implements MembershipEvent {}
+
+    /**
+     * Traffic could not reach a peer, so that it is worth a ping.
+     *
+     * @param peer the peer
+     */
+    record ContactFailed(NodeId peer) implements MembershipEvent {}
+
+    /**
+     * Poison suspects or ejection notices of this node are to be spread.
+     *
+     * @param deltas the records; nodes are ignored
+     */
+    record Spread(GossipDeltas deltas) implements MembershipEvent {}
+
+    /**
+     * What this node tells peers of the preset in force changed.
+     *
+     * @param activation the preset in force
+     */
+    record ActivationChanged(Activation activation) implements MembershipEvent {}
+}
--- a/src/main/java/org/azureshed/transport/ControlTransport.java
+++ b/src/main/java/org/azureshed/transport/ControlTransport.java
@@ -177,6 +177,7 @@
     private void closePeers() {
         List<PeerConnection> open = new ArrayList<>(peers.values());
         open.forEach(PeerConnection::close);
+        inbound.close();
     }
 
     private void onLoop(PendingRequest pending, Runnable action) {
--- a/src/main/java/org/azureshed/transport/InboundConnections.java
+++ b/src/main/java/org/azureshed/transport/InboundConnections.java
@@ -5,6 +5,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.azureshed.generated.ControlMessage;
 
 /** Sets up accepted connections and passes their messages to the handler. */
@@ -14,8 +17,7 @@
     private final TransportCounters counters;
     private final ControlHandler handler;
 
-    /** Used on the event loop only. */
-    private int accepted;
+    private final ChannelGroup accepted = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
 
     InboundConnections(TransportLimits limits, TransportCounters counters, ControlHandler handler) {
         this.limits = limits;
@@ -25,16 +27,19 @@
 
     @Override
     protected void initChannel(Channel channel) {
-        if (accepted >= limits.maxInbound()) {
+        if (accepted.size() >= limits.maxInbound()) {
             counters.rejectedConnections.increment();
             channel.close();
             return;
         }
-        accepted++;
-        channel.closeFuture().addListener(closed -> accepted--);
+        accepted.add(channel);
         FramePipeline.install(channel, limits.inboundIdle(), counters, new Requests());
     }
 
+    void close() {
+        accepted.close();
+    }
+
     private final class Requests extends SimpleChannelInboundHandler<ControlMessage> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, ControlMessage message) {
--- /dev/null
+++ b/src/test/java/org/azureshed/membership/GossipFleetTest.java
@@ -0,0 +1,235 @@
+package org.azureshed.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import org.azureshed.bench.GossipFleet;
+import org.azureshed.bench.GossipLoop;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetId;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.model.TargetState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Runs many reducers with virtual time. The platform takes no part, as in an outage. */
+class GossipFleetTest {
+    private static final long DRAIN_LIMIT_MILLIS = 3_000;
+    private static final long CHANGE_LIMIT_MILLIS = 15_000;
+    private static final long BYTES_PER_SECOND = 4_096;
+
+    /** Guards against drains that reach some node late, on a good network and on a lossy one. */
+    @ParameterizedTest
+    @CsvSource({"5, 0, 1", "50, 0, 2", "300, 0, 3", "5, 10, 4", "50, 10, 5", "300, 10, 6"})
+    void drainIsKnownEverywhereWithin3Seconds(int nodes, int lossPercent, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        GossipLoop loop = fleet(nodes, lossy(random, lossPercent), random);
+        loop.run(5_000);
+        for (int drain = 0; drain < 5; drain++) {
+            NodeInfo changed = drain(loop, drain);
+            long millis = spreadMillis(loop, changed, node -> true);
+            assertTrue(millis <= DRAIN_LIMIT_MILLIS, "drain " + drain + " took " + millis);
+        }
+    }
+
+    /** Guards against drains that stop at a border that one direction does not cross. */
+    @ParameterizedTest
+    @CsvSource({"50, 7", "300, 8"})
+    void drainPassesOneWayCut(int nodes, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        // The zone of node 0 sends nothing to half of the other zones.
+        GossipLoop loop =
+                fleet(
+                        nodes,
+                        (from, to) ->
+                                from % 10 == 0 && to % 10 >= 5
+                                        ? new long[0]
+                                        : new long[] {1 + random.nextInt(3)},
+                        random);
+        loop.run(10_000);
+        for (int drain = 0; drain < 3; drain++) {
+            long millis = spreadMillis(loop, drain(loop, drain * 10), node -> true);
+            assertTrue(millis <= DRAIN_LIMIT_MILLIS, "drain " + drain + " took " + millis);
+        }
+    }
+
+    /** Guards against a drain that waits for an ordinary change that was made just before it. */
+    @ParameterizedTest
+    @CsvSource({"50, 1, 20", "300, 1, 21", "300, 5, 22", "300, 12, 23"})
+    void drainAfterOrdinaryChangesIsKnownWithin3Seconds(int nodes, int changes, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        GossipLoop loop = fleet(nodes, lossy(random, 0), random);
+        loop.run(5_000);
+        for (int change = 0; change < changes; change++) {
+            NodeInfo self = loop.state(3).self();
+            TargetInfo extra = self.targets().get(1).withState(TargetState.STARTING);
+            List<TargetInfo> targets = new java.util.ArrayList<>(self.targets());
+            targets.add(
+                    new TargetInfo(
+                            new TargetId("extra-" + change),
+                            extra.service(),
+                            extra.address(),
+                            1,
+                            TargetState.STARTING));
+            loop.submit(3, new MembershipEvent.SelfChanged(self.withTargets(targets)));
+        }
+        loop.run(loop.nowMillis() + 500);
+        long millis = spreadMillis(loop, drain(loop, 3), node -> true);
+        assertTrue(millis <= DRAIN_LIMIT_MILLIS, millis + " ms");
+    }
+
+    /** Guards against control traffic above the budget, in quiet and with many changes. */
+    @ParameterizedTest
+    @CsvSource({"50, 0, 9", "300, 0, 10", "300, 2, 11"})
+    void staysWithinByteBudget(int nodes, int changesPerSecond, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        GossipLoop loop = fleet(nodes, lossy(random, 0), random);
+        loop.run(3_000);
+        loop.takeBytes();
+        for (int second = 0; second < 20; second++) {
+            for (int change = 0; change < changesPerSecond; change++) {
+                drain(loop, random.nextInt(nodes));
+            }
+            loop.run(loop.nowMillis() + 1_000);
+        }
+        long most = Arrays.stream(loop.takeBytes()).max().orElseThrow() / 20;
+        assertTrue(most <= BYTES_PER_SECOND, most + " bytes/s");
+    }
+
+    /** Guards against an older version that returns with a late, repeated or reordered message. */
+    @ParameterizedTest
+    @ValueSource(longs = {12, 13, 14})
+    void neverReturnsToOlderVersion(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        GossipLoop loop = fleet(30, lateAndRepeated(random), random);
+        Map<String, MemberRecord> newest = new HashMap<>();
+        for (int step = 0; step < 400; step++) {
+            if (step % 10 == 0 && step < 200) {
+                drain(loop, random.nextInt(30));
+            }
+            loop.run(loop.nowMillis() + 100);
+            for (int node = 0; node < loop.size(); node++) {
+                for (MemberRecord record : loop.state(node).table().all()) {
+                    MemberRecord before = newest.put(node + "/" + record.id(), record);
+                    assertFalse(before != null && before.supersedes(record), () -> "" + record);
+                }
+            }
+        }
+        for (int node = 0; node < loop.size(); node++) {
+            NodeInfo self = loop.state(node).self();
+            assertEquals(0, spreadMillis(loop, self, other -> true));
+        }
+    }
+
+    /** Guards against a node that cannot learn the fleet without the platform. */
+    @ParameterizedTest
+    @CsvSource({"5, 15", "300, 16"})
+    void startsFromSeedAlone(int nodes, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        GossipLoop loop = fleet(nodes, lossy(random, 0), random);
+        NodeInfo joining = GossipFleet.node(nodes);
+        int node = loop.add(MembershipState.initial(joining, random.nextLong()));
+        loop.run(3_000);
+        assertEquals(nodes + 1, loop.state(node).table().size());
+        long millis = spreadMillis(loop, joining, other -> true);
+        assertTrue(millis <= CHANGE_LIMIT_MILLIS, millis + " ms");
+    }
+
+    /** Guards against a peer that is lost for all because one node cannot reach it. */
+    @ParameterizedTest
+    @CsvSource({"20, 17", "40, 18"})
+    void unreachableInOwnViewOnly(int nodes, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        NodeId dead = GossipFleet.node(7).id();
+        NodeId halfCut = GossipFleet.node(11).id();
+        GossipLoop loop =
+                fleet(
+                        nodes,
+                        (from, to) -> from == 1 && to == 11 ? new long[0] : new long[] {1},
+                        random);
+        loop.kill(7);
+        loop.run(120_000);
+        assertFalse(loop.state(1).unreachable(halfCut), "indirect pings reach the peer");
+        assertFalse(loop.state(2).unreachable(halfCut));
+        assertTrue(loop.state(17).unreachable(dead));
+        assertTrue(loop.state(17).visible(dead).isPresent(), "too early to hide");
+        loop.run(1_000_000);
+        assertTrue(loop.state(17).visible(dead).isEmpty());
+        assertTrue(loop.state(17).table().get(dead).isPresent(), "only the view changes");
+        MembershipEffect delete =
+                loop.otherEffects().stream()
+                        .filter(MembershipEffect.DeleteRecord.class::isInstance)
+                        .findFirst()
+                        .orElseThrow();
+        assertEquals(dead, ((MembershipEffect.DeleteRecord) delete).id());
+    }
+
+    static GossipLoop fleet(int nodes, GossipLoop.Network network, SplittableRandom random) {
+        RecordTable table = RecordTable.empty();
+        for (int i = 0; i < nodes; i++) {
+            table = table.put(MemberRecord.of(GossipFleet.node(i)));
+        }
+        MembershipReducer reducer = new MembershipReducer(List.of(GossipFleet.node(0).control()));
+        GossipLoop loop = new GossipLoop(reducer, network, random.nextLong());
+        for (int i = 0; i < nodes; i++) {
+            loop.add(MembershipState.initial(GossipFleet.node(i), table, random.nextLong()));
+        }
+        return loop;
+    }
+
+    private static GossipLoop.Network lossy(SplittableRandom random, int lossPercent) {
+        return (from, to) ->
+                random.nextInt(100) < lossPercent
+                        ? new long[0]
+                        : new long[] {1 + random.nextInt(3)};
+    }
+
+    private static GossipLoop.Network lateAndRepeated(SplittableRandom random) {
+        return (from, to) ->
+                switch (random.nextInt(4)) {
+                    case 0 -> new long[] {1, random.nextInt(5_000)};
+                    case 1 -> new long[] {random.nextInt(5_000)};
+                    default -> new long[] {1 + random.nextInt(3)};
+                };
+    }
+
+    private static NodeInfo drain(GossipLoop loop, int node) {
+        NodeInfo self = loop.state(node).self();
+        List<TargetInfo> targets = new java.util.ArrayList<>(self.targets());
+        TargetInfo first = targets.remove(0);
+        targets.add(first.withState(TargetState.DRAINING));
+        NodeInfo changed = self.withTargets(targets);
+        loop.submit(node, new MembershipEvent.SelfChanged(changed));
+        return changed;
+    }
+
+    /** Time until all chosen nodes have a version, at most a minute. */
+    private static long spreadMillis(GossipLoop loop, NodeInfo changed, Predicate<Integer> chosen) {
+        long start = loop.nowMillis();
+        for (int node = 0; node < loop.size(); node++) {
+            int checked = node;
+            while (chosen.test(node) && !knows(loop, checked, changed)) {
+                assertTrue(loop.nowMillis() - start < 60_000, "node " + node + " never learns");
+                loop.run(loop.nowMillis() + 10);
+            }
+        }
+        return loop.nowMillis() - start;
+    }
+
+    private static boolean knows(GossipLoop loop, int node, NodeInfo changed) {
+        return loop.state(node)
+                .table()
+                .get(changed.id())
+                .filter(record -> record.sequence() >= changed.sequence())
+                .isPresent();
+    }
+}
