--- /dev/null
+++ b/src/main/java/org/azureshed/distribution/Announcement.java
@@ -0,0 +1,17 @@
+package org.azureshed.distribution;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * The preset in force as one node knows it.
+ *
+ * @param number activation number, above 0
+ * @param manifest digest of the manifest
+ * @param complete whether the node has the manifest and all chunks
+ */
+public record Announcement(long number, ContentDigest manifest, boolean complete) {
+    /** Checks the number. */
+    public Announcement {
+        checkArgument(number > 0, "activation number %s is not above 0", number);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/distribution/ContentError.java
@@ -0,0 +1,50 @@
+package org.azureshed.distribution;
+
+/** Why contents were not accepted. */
+public sealed interface ContentError {
+    /**
+     * Explains the error and its remedy.
+     *
+     * @return one sentence
+     */
+    String message();
+
+    /**
+     * The bytes are not those that the digest names.
+     *
+     * @param expected the digest asked for
+     * @param actual the digest of the bytes
+     */
+    record WrongDigest(ContentDigest expected, ContentDigest actual) implements ContentError {
+        @Override
+        public String message() {
+            return "content " + expected + " arrived as " + actual + "; fetch it elsewhere";
+        }
+    }
+
+    /**
+     * The contents are larger than the platform stores.
+     *
+     * @param bytes their size
+     * @param limit largest size in bytes
+     */
+    record TooLarge(int bytes, int limit) implements ContentError {
+        @Override
+        public String message() {
+            return "content has " + bytes + " bytes, the limit is " + limit + "; split it";
+        }
+    }
+
+    /**
+     * The manifest cannot be read.
+     *
+     * @param digest its digest
+     * @param detail what is wrong
+     */
+    record BadManifest(ContentDigest digest, String detail) implements ContentError {
+        @Override
+        public String message() {
+            return "manifest " + digest + " is malformed (" + detail + "); put the preset again";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/distribution/DistributionState.java
@@ -0,0 +1,96 @@
+package org.azureshed.distribution;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+import java.util.List;
+import java.util.Optional;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
+
+/**
+ * What a node knows of the preset in force and of its contents.
+ *
+ * @param self this node
+ * @param relay whether this node watches the platform
+ * @param latest the highest activation number heard of
+ * @param chunks chunks of the latest preset; empty until its manifest is stored
+ * @param inForce number and chunks that were put in force last
+ * @param held digests of stored contents
+ * @param sources peers that have the latest preset completely
+ * @param fetches running fetches and when they started
+ * @param index what the platform showed last, with the time of reading
+ * @param conflict the conflict that was reported last
+ * @param changedMillis when the latest preset was put in force on this node
+ * @param writtenMillis when the last write back started
+ * @param nowMillis time of the last {@link DistributionEvent.Due}
+ * @param seed source of the next random numbers
+ */
+public record DistributionState(
+        NodeId self,
+        boolean relay,
+        Optional<Announcement> latest,
+        Optional<List<ContentDigest>> chunks,
+        Optional<Announcement> inForce,
+        Set<ContentDigest> held,
+        Map<NodeId, Endpoint> sources,
+        Map<ContentDigest, Long> fetches,
+        Optional<Index> index,
+        Optional<ContentDigest> conflict,
+        long changedMillis,
+        long writtenMillis,
+        long nowMillis,
+        long seed) {
+    /**
+     * The platform's preset index as it was read.
+     *
+     * @param number activation number; 0 if no preset is in force there
+     * @param objectVersion version of the object; 0 if there is none
+     * @param readMillis when it was read
+     */
+    public record Index(long number, long objectVersion, long readMillis) {}
+
+    /**
+     * State of a node that knows no preset.
+     *
+     * @param self the node
+     * @param seed random number
+     * @return the state
+     */
+    public static DistributionState initial(NodeId self, long seed) {
+        return new DistributionState(
+                self,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                HashSet.empty(),
+                HashMap.empty(),
+                HashMap.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                0,
+                0,
+                seed);
+    }
+
+    /**
+     * The highest activation number heard of.
+     *
+     * @return the number; 0 if none
+     */
+    public long latestNumber() {
+        return latest.map(Announcement::number).orElse(0L);
+    }
+
+    /**
+     * The activation number in force on this node.
+     *
+     * @return the number; 0 if none
+     */
+    public long numberInForce() {
+        return inForce.map(Announcement::number).orElse(0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/distribution/ManifestReader.java
@@ -0,0 +1,17 @@
+package org.azureshed.distribution;
+
+import io.vavr.control.Either;
+import java.util.List;
+
+/** Reads which chunks a manifest names. */
+@FunctionalInterface
+public interface ManifestReader {
+    /**
+     * Reads a manifest.
+     *
+     * @param digest its digest
+     * @param content its bytes, which match the digest
+     * @return the digests of its chunks, or {@link ContentError.BadManifest}
+     */
+    Either<ContentError, List<ContentDigest>> chunks(ContentDigest digest, byte[] content);
+}
