Connect membership and distribution to the control loop and connections

Cause: the reducers have to be driven by the one control thread and to talk to real peers. Change: ControlEvent.Membership and Distribution, the effects of the same names, and FleetReducer, which passes results between the reducers and keeps the nodes of ControlState. NodeShell ignores the new effects until a node starts FleetShell. A connection takes two frames of unsent bytes, so that four chunks and a gossip reply fit. Before: reducers in virtual time only. Conclusion: the node has to create the shells and pass the effects on.

--- a/src/main/java/org/azureshed/control/ControlEvent.java
+++ b/src/main/java/org/azureshed/control/ControlEvent.java
@@ -1,6 +1,8 @@
 package org.azureshed.control;
 
 import java.util.List;
+import org.azureshed.distribution.DistributionEvent;
+import org.azureshed.membership.MembershipEvent;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetId;
@@ -62,6 +64,20 @@
      */
     record PresetReceived(ActivePreset active) implements ControlEvent {}
 
+    /**
+     * Input of the membership reducer.
+     *
+     * @param event the event
+     */
+    record Membership(MembershipEvent event) implements ControlEvent {}
+
+    /**
+     * Input of the distribution reducer.
+     *
+     * @param event the event
+     */
+    record Distribution(DistributionEvent event) implements ControlEvent {}
+
     /** The process was asked to stop. */
     record StopRequested() implements ControlEvent {}
 }
--- a/src/main/java/org/azureshed/control/ControlReducer.java
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -1,9 +1,9 @@
 package org.azureshed.control;
 
-import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import java.util.ArrayList;
 import java.util.List;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetInfo;
@@ -13,6 +13,22 @@
  * or output.
  */
 public final class ControlReducer {
+    private final FleetReducer fleet;
+
+    /** Creates a reducer without seeds; nodes learn of each other from the platform first. */
+    public ControlReducer() {
+        this(List.of());
+    }
+
+    /**
+     * Creates a reducer.
+     *
+     * @param seeds control addresses that are asked while no other node is known
+     */
+    public ControlReducer(List<Endpoint> seeds) {
+        this.fleet = new FleetReducer(seeds);
+    }
+
     /**
      * Reduces one event.
      *
@@ -21,6 +37,10 @@
      * @return the state after it and what has to be carried out
      */
     public Step<ControlState, Effect> reduce(ControlState state, ControlEvent event) {
+        return fleet.follow(state, event, reduceOwn(state, event));
+    }
+
+    private static Step<ControlState, Effect> reduceOwn(ControlState state, ControlEvent event) {
         return switch (event) {
             case ControlEvent.Tick(long now) -> Step.of(state.withNow(now));
             case ControlEvent.TargetAnnounced(TargetInfo target) -> announce(state, target);
@@ -31,6 +51,8 @@
             case ControlEvent.NodeDeleted(NodeId id) -> deleted(state, id);
             case ControlEvent.PresetReceived(ActivePreset active) -> activate(state, active);
             case ControlEvent.StopRequested() -> stop(state);
+            case ControlEvent.Membership ignored -> Step.of(state);
+            case ControlEvent.Distribution ignored -> Step.of(state);
         };
     }
 
@@ -65,8 +87,12 @@
                 List.of(new Effect.PublishSnapshot(next.snapshot()), new Effect.PublishSelf(self)));
     }
 
+    /**
+     * Nodes that the listing lacks stay: the platform may have been restored from an older copy,
+     * and gossip tells which nodes are gone.
+     */
     private static Step<ControlState, Effect> listed(ControlState state, List<NodeInfo> nodes) {
-        Map<NodeId, NodeInfo> merged = HashMap.empty();
+        Map<NodeId, NodeInfo> merged = state.nodes();
         for (NodeInfo node : nodes) {
             if (!node.id().equals(state.self().id())) {
                 NodeInfo known = state.nodes().getOrElse(node.id(), node);
--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -19,13 +19,15 @@
  * @param active the preset in force, or empty before the first one is known
  * @param routes route table of the preset in force
  * @param nowMillis time of the last tick
+ * @param fleet what gossip and distribution know
  */
 public record ControlState(
         NodeInfo self,
         Map<NodeId, NodeInfo> nodes,
         Optional<ActivePreset> active,
         RouteTable routes,
-        long nowMillis) {
+        long nowMillis,
+        FleetState fleet) {
     /**
      * State of a node that has just started.
      *
@@ -34,15 +36,20 @@
      */
     public static ControlState initial(NodeInfo self) {
         return new ControlState(
-                self, HashMap.empty(), Optional.empty(), RouteTable.of(List.of()), 0);
+                self,
+                HashMap.empty(),
+                Optional.empty(),
+                RouteTable.of(List.of()),
+                0,
+                FleetState.initial(self));
     }
 
     ControlState withSelf(NodeInfo newSelf) {
-        return new ControlState(newSelf, nodes, active, routes, nowMillis);
+        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet);
     }
 
     ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
-        return new ControlState(self, newNodes, active, routes, nowMillis);
+        return new ControlState(self, newNodes, active, routes, nowMillis, fleet);
     }
 
     ControlState withActive(ActivePreset newActive) {
@@ -51,11 +58,16 @@
                 nodes,
                 Optional.of(newActive),
                 RouteTable.of(newActive.preset().routes()),
-                nowMillis);
+                nowMillis,
+                fleet);
     }
 
     ControlState withNow(long newNowMillis) {
-        return new ControlState(self, nodes, active, routes, newNowMillis);
+        return new ControlState(self, nodes, active, routes, newNowMillis, fleet);
+    }
+
+    ControlState withFleet(FleetState newFleet) {
+        return new ControlState(self, nodes, active, routes, nowMillis, newFleet);
     }
 
     Snapshot snapshot() {
--- a/src/main/java/org/azureshed/control/Effect.java
+++ b/src/main/java/org/azureshed/control/Effect.java
@@ -1,5 +1,7 @@
 package org.azureshed.control;
 
+import org.azureshed.distribution.DistributionEffect;
+import org.azureshed.membership.MembershipEffect;
 import org.azureshed.model.NodeInfo;
 
 /** Something that the shell has to carry out for the reducer. */
@@ -24,4 +26,18 @@
      * @param active the preset that came into force
      */
     record PresetInForce(ActivePreset active) implements Effect {}
+
+    /**
+     * Carries out an effect of the membership reducer.
+     *
+     * @param effect the effect
+     */
+    record Membership(MembershipEffect effect) implements Effect {}
+
+    /**
+     * Carries out an effect of the distribution reducer.
+     *
+     * @param effect the effect
+     */
+    record Distribution(DistributionEffect effect) implements Effect {}
 }
--- /dev/null
+++ b/src/main/java/org/azureshed/distribution/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Connects the distribution reducer to peers and the platform; no API. */
+package org.azureshed.distribution.internal;
--- a/src/main/java/org/azureshed/membership/MembershipReducer.java
+++ b/src/main/java/org/azureshed/membership/MembershipReducer.java
@@ -7,6 +7,7 @@
 import org.azureshed.generated.ControlMessage;
 import org.azureshed.generated.GossipDeltas;
 import org.azureshed.generated.NodeRecord;
+import org.azureshed.generated.PresetAnnouncement;
 import org.azureshed.generated.RecordPatch;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
@@ -69,7 +70,7 @@
             case MembershipEvent.Spread(GossipDeltas deltas) ->
                     UrgentPush.push(draft, SpreadMerge.merge(draft, deltas), UrgentPush.MAX_HOPS);
             case MembershipEvent.ActivationChanged(Activation activation) ->
-                    draft.state = draft.state.withActivation(activation);
+                    changeActivation(draft, activation);
         }
         return draft.finish();
     }
@@ -151,6 +152,20 @@
         }
     }
 
+    /** Tells some peers at once when this node has a preset that they can fetch from it. */
+    private static void changeActivation(Draft draft, Activation activation) {
+        draft.state = draft.state.withActivation(activation);
+        if (activation.getComplete()) {
+            PresetAnnouncement announcement =
+                    PresetAnnouncement.newBuilder()
+                            .setSender(draft.state.self().id().value())
+                            .setActivation(activation)
+                            .build();
+            UrgentPush.send(
+                    draft, ControlMessage.newBuilder().setPresetAnnouncement(announcement).build());
+        }
+    }
+
     private static void leave(Draft draft) {
         NodeInfo self = draft.state.self();
         MemberRecord tombstone =
--- a/src/main/java/org/azureshed/membership/UrgentPush.java
+++ b/src/main/java/org/azureshed/membership/UrgentPush.java
@@ -26,7 +26,6 @@
         if (hops <= 0 || deltas.getSerializedSize() == 0) {
             return;
         }
-        draft.refreshPeers();
         ControlMessage message =
                 ControlMessage.newBuilder()
                         .setGossipPush(
@@ -34,6 +33,12 @@
                                         .setDeltas(deltas)
                                         .setHops(Math.min(hops, MAX_HOPS) - 1))
                         .build();
+        send(draft, message);
+    }
+
+    /** Sends a message to as many peers as a push. */
+    static void send(Draft draft, ControlMessage message) {
+        draft.refreshPeers();
         for (NodeId peer : choosePeers(draft)) {
             draft.endpoint(peer).ifPresent(to -> draft.add(new MembershipEffect.Send(to, message)));
         }
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -51,6 +51,12 @@
             case Effect.PublishSelf(var self) -> publisher.publish(self);
             case Effect.PresetInForce(ActivePreset active) -> logActivation(active);
             case Effect.PublishSnapshot(Snapshot snapshot) -> applyToAdmission(snapshot);
+            case Effect.Membership(var membership) -> {
+                // Carried out by FleetShell once the node starts a control transport.
+            }
+            case Effect.Distribution(var distribution) -> {
+                // Carried out by FleetShell once the node starts a control transport.
+            }
         }
     }
 
--- a/src/main/java/org/azureshed/transport/ControlTransport.java
+++ b/src/main/java/org/azureshed/transport/ControlTransport.java
@@ -42,8 +42,8 @@
  * }</pre>
  */
 public final class ControlTransport implements AutoCloseable {
-    /** Unsent bytes of a connection above which messages are refused: one full frame. */
-    private static final int UNSENT_LIMIT_BYTES = TransportLimits.MAX_FRAME_BYTES;
+    /** Unsent bytes of a connection above which messages are refused: four chunks and more. */
+    private static final int UNSENT_LIMIT_BYTES = 2 * TransportLimits.MAX_FRAME_BYTES;
 
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
