Run gossip and distribution in the node

Cause: each node watched the platform, which 2,400 nodes must not. Change: the node opens its control listener; only relays follow the platform; others learn nodes and presets from peers. Before: all nodes watch. Conclusion: the shells are wired.

--- a/src/main/java/org/azureshed/cli/NodeCommand.java
+++ b/src/main/java/org/azureshed/cli/NodeCommand.java
@@ -4,7 +4,10 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.node.NodeApplication;
 import org.azureshed.node.NodeSettings;
@@ -47,6 +50,13 @@
     @Option(name = "--platform", description = "URL of the platform's object API")
     private String platform;
 
+    @Option(
+            name = "--seed",
+            description =
+                    "control address host:port of another node, asked while the platform is away;"
+                            + " may be repeated")
+    private List<String> seeds = new ArrayList<>();
+
     @Override
     public Integer call() throws Exception {
         NodeSettings settings =
@@ -60,7 +70,8 @@
                         controlPort,
                         adminAddress,
                         adminPort,
-                        URI.create(platform));
+                        URI.create(platform),
+                        seeds.stream().map(Endpoint::parse).toList());
         new NodeApplication(settings).run();
         Thread.currentThread().join();
         return 0;
--- a/src/main/java/org/azureshed/control/ActivePreset.java
+++ b/src/main/java/org/azureshed/control/ActivePreset.java
@@ -7,6 +7,5 @@
  *
  * @param number activation number; a node never applies a lower one than before
  * @param preset the preset
- * @param reason the operator's reason
  */
-public record ActivePreset(long number, Preset preset, String reason) {}
+public record ActivePreset(long number, Preset preset) {}
--- a/src/main/java/org/azureshed/node/AdminResource.java
+++ b/src/main/java/org/azureshed/node/AdminResource.java
@@ -91,7 +91,8 @@
                         active -> {
                             root.put("activationNumber", active.number());
                             root.put("preset", active.preset().name());
-                            root.put("reason", active.reason());
+                            root.put("purpose", active.preset().purpose());
+                            root.put("watch", active.preset().watch());
                         });
         ObjectNode services = root.putObject("services");
         snapshot.candidates()
--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -106,13 +106,17 @@
     /**
      * Closes the listeners at once, without the planned stop of a process.
      *
-     * @throws Exception if the server does not stop
+     * @throws IllegalStateException if the server does not stop
      */
     @Override
-    public void close() throws Exception {
+    public void close() {
         shell.stop();
         control.stop();
-        server.stop();
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("the listeners did not close", e);
+        }
     }
 
     private void logStart(NodeInfo self) {
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -8,6 +8,7 @@
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
+import org.azureshed.distribution.ContentStore;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
@@ -38,6 +39,12 @@
         return new HttpObjectStore(settings.platform());
     }
 
+    @Provides
+    @Singleton
+    ContentStore contentStore() {
+        return new ContentStore();
+    }
+
     @Provides
     @Singleton
     Admission admission() {
@@ -47,6 +54,7 @@
     @Provides
     @Singleton
     ControlLoop controlLoop(NodeInfo self, NodeShell shell) {
-        return new ControlLoop(new ControlReducer(), ControlState.initial(self), shell::carryOut);
+        return new ControlLoop(
+                new ControlReducer(settings.seeds()), ControlState.initial(self), shell::carryOut);
     }
 }
--- a/src/main/java/org/azureshed/node/NodeSettings.java
+++ b/src/main/java/org/azureshed/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.net.URI;
+import java.util.List;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
@@ -20,6 +21,7 @@
  * @param adminAddress IP number that the admin listener binds to
  * @param adminPort port for operators, metrics and target announcements
  * @param platform base URL of the platform's object API
+ * @param seeds control addresses of other nodes, asked while the platform is away
  */
 public record NodeSettings(
         NodeId id,
@@ -31,9 +33,11 @@
         int controlPort,
         String adminAddress,
         int adminPort,
-        URI platform) {
+        URI platform,
+        List<Endpoint> seeds) {
     /** Checks the settings. */
     public NodeSettings {
+        seeds = List.copyOf(seeds);
         checkArgument(!region.isBlank(), "the region is empty; set --region");
         checkArgument(!availabilityZone.isBlank(), "the availability zone is empty; set --zone");
         checkPort("--entry-port", entryPort);
@@ -74,6 +78,6 @@
                 incarnation,
                 1,
                 false,
-                java.util.List.of());
+                List.of());
     }
 }
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -1,56 +1,107 @@
 package org.azureshed.node;
 
 import jakarta.inject.Inject;
+import jakarta.inject.Provider;
 import jakarta.inject.Singleton;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.azureshed.admission.Admission;
 import org.azureshed.control.ActivePreset;
+import org.azureshed.control.ControlEvent;
+import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Effect;
 import org.azureshed.control.Snapshot;
+import org.azureshed.distribution.ContentStore;
+import org.azureshed.distribution.internal.DistributionShell;
+import org.azureshed.generated.ControlMessage;
+import org.azureshed.membership.MembershipEffect;
+import org.azureshed.membership.internal.FleetShell;
+import org.azureshed.model.NodeInfo;
 import org.azureshed.model.ServicePolicy;
+import org.azureshed.platform.ObjectStore;
+import org.azureshed.preset.PresetChunks;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
+import org.azureshed.transport.ControlHandler;
+import org.azureshed.transport.TransportError;
 
 /** Carries out the effects of the reducer and runs the node's background work. */
 @Singleton
 final class NodeShell {
+    private final NodeInfo self;
     private final SelfPublisher publisher;
     private final NodeWatcher nodes;
-    private final PresetWatcher presets;
+    private final IndexWatcher index;
+    private final PresetDistribution presets;
+    private final NodeRecords records;
     private final Admission admission;
     private final FleetMetrics metrics;
+    private final FleetShell fleet;
+    private final DistributionShell distribution;
     private final List<Thread> threads = new ArrayList<>();
 
     @Inject
     NodeShell(
+            NodeInfo self,
+            ObjectStore store,
+            ContentStore contents,
             SelfPublisher publisher,
             NodeWatcher nodes,
-            PresetWatcher presets,
+            IndexWatcher index,
+            PresetDistribution presets,
+            NodeRecords records,
             Admission admission,
-            FleetMetrics metrics) {
-        this.presets = presets;
-        this.admission = admission;
+            FleetMetrics metrics,
+            Provider<ControlLoop> control) {
+        this.self = self;
         this.publisher = publisher;
         this.nodes = nodes;
+        this.index = index;
+        this.presets = presets;
+        this.records = records;
+        this.admission = admission;
         this.metrics = metrics;
+        this.fleet =
+                FleetShell.create(
+                        event -> control.get().submit(new ControlEvent.Membership(event)),
+                        this::carryOutOther,
+                        this::received);
+        this.distribution =
+                new DistributionShell(
+                        fleet.transport(),
+                        contents,
+                        PresetDistribution::chunksOf,
+                        store,
+                        PresetChunks.KIND,
+                        event -> control.get().submit(new ControlEvent.Distribution(event)),
+                        presets::carryOut);
     }
 
-    /** Starts the background threads. */
+    /**
+     * Opens the control listener and starts the background threads.
+     *
+     * @throws IllegalStateException if the control port cannot be opened
+     */
     void start() {
+        fleet.start(self.control())
+                .peekLeft(
+                        (TransportError error) -> {
+                            throw new IllegalStateException(error.message());
+                        });
         startThread("self-publisher", publisher::run);
         startThread("node-watcher", nodes::run);
-        startThread("preset-watcher", presets::run);
+        startThread("index-watcher", index::run);
     }
 
     private void startThread(String name, Runnable work) {
         threads.add(Thread.ofVirtual().name(name).start(work));
     }
 
-    /** Stops the background threads. */
+    /** Stops the background threads and closes the control connections. */
     void stop() {
         threads.forEach(Thread::interrupt);
+        fleet.close();
     }
 
     /**
@@ -60,18 +111,40 @@
      */
     void carryOut(Effect effect) {
         switch (effect) {
-            case Effect.PublishSelf(var self) -> publisher.publish(self);
+            case Effect.PublishSelf(NodeInfo record) -> publisher.publish(record);
             case Effect.PresetInForce(ActivePreset active) -> logActivation(active);
             case Effect.PublishSnapshot(Snapshot snapshot) -> applyToAdmission(snapshot);
-            case Effect.Membership(var membership) -> {
-                // Carried out by FleetShell once the node starts a control transport.
-            }
-            case Effect.Distribution(var distribution) -> {
-                // Carried out by FleetShell once the node starts a control transport.
+            case Effect.Membership(var membership) -> fleet.carryOut(membership);
+            case Effect.Distribution(var content) -> distribution.carryOut(content);
+        }
+    }
+
+    private void carryOutOther(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.DeleteRecord delete -> records.delete(delete);
+            case MembershipEffect.DuplicateNodeId(NodeInfo other) ->
+                    EventLog.warning("duplicate_node_id")
+                            .with("node", other.id())
+                            .with("other_host", other.host())
+                            .with("remedy", "give each node its own --node-id")
+                            .write();
+            case MembershipEffect.ReachabilityChanged(var peer, boolean reachable) ->
+                    EventLog.info("reachability_changed")
+                            .with("peer", peer)
+                            .with("reachable", reachable)
+                            .write();
+            default -> {
+                // Spread records concern parts that read them from the control state.
             }
         }
     }
 
+    private void received(ControlMessage message, ControlHandler.Replier replier) {
+        if (!distribution.serve(message, replier)) {
+            EventLog.warning("control_message_ignored").with("body", message.getBodyCase()).write();
+        }
+    }
+
     private void applyToAdmission(Snapshot snapshot) {
         Map<String, ServicePolicy> policies =
                 snapshot.active().map(active -> active.preset().services()).orElse(Map.of());
@@ -83,7 +156,6 @@
         EventLog.info("preset_in_force")
                 .with("activation", active.number())
                 .with("preset", active.preset().name())
-                .with("reason", active.reason())
                 .write();
     }
 }
--- a/src/main/java/org/azureshed/node/NodeWatcher.java
+++ b/src/main/java/org/azureshed/node/NodeWatcher.java
@@ -18,7 +18,7 @@
 import org.azureshed.platform.StoredObject;
 import org.azureshed.telemetry.EventLog;
 
-/** Reads the records of all nodes from the platform and follows their changes. */
+/** Reads the records of all nodes from the platform once; a relay also follows their changes. */
 @Singleton
 final class NodeWatcher {
     static final String KIND = "node";
@@ -28,10 +28,12 @@
 
     private final ObjectStore store;
     private final Provider<ControlLoop> control;
+    private final RelayRole relay;
     private final NodeInfoCodec codec = new NodeInfoCodec();
 
     @Inject
-    NodeWatcher(ObjectStore store, Provider<ControlLoop> control) {
+    NodeWatcher(ObjectStore store, Provider<ControlLoop> control, RelayRole relay) {
+        this.relay = relay;
         this.store = store;
         this.control = control;
     }
@@ -39,9 +41,13 @@
     /** Follows changes until the thread is interrupted. */
     void run() {
         Optional<Long> version = Optional.empty();
+        boolean listed = false;
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                version = version.isEmpty() ? list() : watch(version.get());
+                // Only relays go on reading after the first list; the others learn from gossip.
+                boolean waited = listed && relay.await();
+                version = waited || version.isEmpty() ? list() : watch(version.get());
+                listed |= version.isPresent();
                 if (version.isEmpty()) {
                     Thread.sleep(RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
                 }
--- a/src/main/java/org/azureshed/proxy/LoadHeader.java
+++ b/src/main/java/org/azureshed/proxy/LoadHeader.java
@@ -10,7 +10,7 @@
 
 /**
  * Value of the {@code Azureshed-Load} header, for example {@code
- * boot=1700000000000;clock=5123;in=2;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20;spent=9100}.
+ * boot=1700000000000;clock=5123;in=2;long=1;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20;spent=9100}.
  *
  * @param bootId incarnation of the host's process
  * @param clockMillis the host's monotonic clock in milliseconds
@@ -24,11 +24,12 @@
     }
 
     String encode() {
-        return "boot=%d;clock=%d;in=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d;spent=%d"
+        return "boot=%d;clock=%d;in=%d;long=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d;spent=%d"
                 .formatted(
                         bootId,
                         clockMillis,
                         report.inFlight(),
+                        report.longInFlight(),
                         report.slots(),
                         report.queued(),
                         report.state().name().toLowerCase(Locale.ROOT),
@@ -50,6 +51,7 @@
             LoadReport report =
                     new LoadReport(
                             Integer.parseInt(fields.get("in")),
+                            Integer.parseInt(fields.get("long")),
                             Integer.parseInt(fields.get("slots")),
                             Integer.parseInt(fields.get("queued")),
                             TargetState.valueOf(fields.get("state").toUpperCase(Locale.ROOT)),
--- a/src/main/java/org/azureshed/proxy/TargetChooser.java
+++ b/src/main/java/org/azureshed/proxy/TargetChooser.java
@@ -81,7 +81,12 @@
                         now);
         PickRequest request =
                 new PickRequest(
-                        candidates, snapshot.nodeCount(), tried, avoided, snapshot::weightPercent);
+                        candidates,
+                        snapshot.nodeCount(),
+                        tried,
+                        avoided,
+                        call.requestClass().longRunning(),
+                        snapshot::weightPercent);
         Optional<Pick> pick =
                 state(call).picker().pick(request, ThreadLocalRandom.current().nextLong(), now);
         pick.ifPresent(chosen -> paths.started(chosen.candidate().node().id(), now));
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -54,7 +54,8 @@
                         freePort(),
                         "127.0.0.1",
                         freePort(),
-                        platform.uri());
+                        platform.uri(),
+                        List.of());
         NodeApplication node = new NodeApplication(settings);
         node.run();
         parts.add(node);
@@ -110,7 +111,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         for (AutoCloseable part : parts.reversed()) {
             part.close();
         }
