Use the preset feed of the distribution package

Cause: two classes did the same work; the feed of the distribution package has tests. Change: own index watcher and activation removed. Before: two implementations. Conclusion: nodes learn presets through relays and peers.

--- a/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
+++ b/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
@@ -19,7 +19,6 @@
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.platform.StoreError;
 import org.azureshed.platform.StoredObject;
-import org.azureshed.preset.PresetChange;
 import org.azureshed.preset.PresetChunks;
 import org.azureshed.preset.PresetIndex;
 import org.azureshed.telemetry.EventLog;
@@ -28,7 +27,6 @@
 public final class PresetFeed {
     private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
     private static final long RETRY_MILLIS = 1_000;
-    private static final String UNKNOWN_REASON = "learned from peers; see the preset history";
 
     private final ObjectStore store;
     private final ContentStore contents;
@@ -39,9 +37,6 @@
     /** Used on the control thread only. */
     private Thread watcher;
 
-    /** Index that the watch saw last; names the reasons of activations. */
-    private volatile PresetIndex lastIndex = PresetIndex.empty();
-
     /**
      * Creates a feed that does not watch yet.
      *
@@ -119,9 +114,7 @@
                                                 preset ->
                                                         active.accept(
                                                                 new ActivePreset(
-                                                                        activate.number(),
-                                                                        preset,
-                                                                        reason(activate))))
+                                                                        activate.number(), preset)))
                                         .peekLeft(
                                                 error ->
                                                         EventLog.warning("preset_refused")
@@ -132,14 +125,6 @@
                                                                 .write()));
     }
 
-    private String reason(DistributionEffect.Activate activate) {
-        return lastIndex.changes().reversed().stream()
-                .filter(change -> change.activationNumber() == activate.number())
-                .map(PresetChange::reason)
-                .findFirst()
-                .orElse(UNKNOWN_REASON);
-    }
-
     private void follow() {
         long version = 0;
         boolean read = false;
@@ -184,7 +169,6 @@
         PresetIndex.decode(newest.get().value())
                 .peek(
                         index -> {
-                            lastIndex = index;
                             events.accept(
                                     new DistributionEvent.IndexRead(
                                             announcement(index), newest.get().version()));
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -13,7 +13,9 @@
 import org.azureshed.control.Effect;
 import org.azureshed.control.Snapshot;
 import org.azureshed.distribution.ContentStore;
+import org.azureshed.distribution.DistributionEffect;
 import org.azureshed.distribution.internal.DistributionShell;
+import org.azureshed.distribution.internal.PresetFeed;
 import org.azureshed.generated.ControlMessage;
 import org.azureshed.membership.MembershipEffect;
 import org.azureshed.membership.internal.FleetShell;
@@ -32,8 +34,8 @@
     private final NodeInfo self;
     private final SelfPublisher publisher;
     private final NodeWatcher nodes;
-    private final IndexWatcher index;
-    private final PresetDistribution presets;
+    private final RelayRole relay;
+    private final PresetFeed presets;
     private final NodeRecords records;
     private final Admission admission;
     private final FleetMetrics metrics;
@@ -48,8 +50,7 @@
             ContentStore contents,
             SelfPublisher publisher,
             NodeWatcher nodes,
-            IndexWatcher index,
-            PresetDistribution presets,
+            RelayRole relay,
             NodeRecords records,
             Admission admission,
             FleetMetrics metrics,
@@ -57,8 +58,7 @@
         this.self = self;
         this.publisher = publisher;
         this.nodes = nodes;
-        this.index = index;
-        this.presets = presets;
+        this.relay = relay;
         this.records = records;
         this.admission = admission;
         this.metrics = metrics;
@@ -71,11 +71,17 @@
                 new DistributionShell(
                         fleet.transport(),
                         contents,
-                        PresetDistribution::chunksOf,
+                        PresetFeed::chunks,
                         store,
                         PresetChunks.KIND,
                         event -> control.get().submit(new ControlEvent.Distribution(event)),
-                        presets::carryOut);
+                        this::carryOutPreset);
+        this.presets =
+                new PresetFeed(
+                        store,
+                        contents,
+                        event -> control.get().submit(new ControlEvent.Distribution(event)),
+                        active -> control.get().submit(new ControlEvent.PresetReceived(active)));
     }
 
     /**
@@ -91,7 +97,6 @@
                         });
         startThread("self-publisher", publisher::run);
         startThread("node-watcher", nodes::run);
-        startThread("index-watcher", index::run);
     }
 
     private void startThread(String name, Runnable work) {
@@ -119,6 +124,13 @@
         }
     }
 
+    private void carryOutPreset(DistributionEffect effect) {
+        if (effect instanceof DistributionEffect.WatchIndex(boolean watch)) {
+            relay.set(watch);
+        }
+        presets.carryOut(effect);
+    }
+
     private void carryOutOther(MembershipEffect effect) {
         switch (effect) {
             case MembershipEffect.DeleteRecord delete -> records.delete(delete);
