Cover long work in load estimates, old samples and other regions

Cause: a new test showed that a target whose slots were all held by long work, with nothing queued, still got an equal share of short work (525 of 4,000 picks at 8 targets). Samples in the load report never aged, and the picker had no way out when all paths in its region were avoided. Change: such a target counts with a load of 8 and its queue; samples older than 30 s are dropped; targets of other regions are the last resort.

--- a/src/main/java/org/azureshed/admission/ServiceTimes.java
+++ b/src/main/java/org/azureshed/admission/ServiceTimes.java
@@ -1,10 +1,10 @@
 package org.azureshed.admission;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.azureshed.model.RequestClass;
 
 /**
@@ -23,6 +23,10 @@
     static final int TARGET_FACTOR = 32;
 
     private static final int WINDOW = 64;
+
+    /** Older samples would keep a target that gets little work in a state it has left. */
+    private static final long SAMPLE_AGE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private static final int MAX_ROUTES = 256;
     private static final long MIN_LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long INITIAL_SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -35,7 +39,9 @@
     private final Map<String, MovingMedian> classMedians = new HashMap<>();
     private final LinkedHashMap<String, RouteShare> routes = new LinkedHashMap<>(16, 0.75f, true);
     private final long[] recentNanos = new long[WINDOW];
+    private final long[] durationsAtNanos = new long[WINDOW];
     private final boolean[] recentErrors = new boolean[WINDOW];
+    private final long[] outcomesAtNanos = new long[WINDOW];
     private int durations;
     private int outcomes;
     private int normalRoutes;
@@ -43,13 +49,21 @@
     private double meanLongNanos = INITIAL_LONG_NANOS;
 
     /** Records a request that reached the target. */
-    void finished(Request request, Lane lane, boolean counted, boolean failed, long nanos) {
+    void finished(
+            Request request,
+            Lane lane,
+            boolean counted,
+            boolean failed,
+            long nanos,
+            long nowNanos) {
+        outcomesAtNanos[outcomes % WINDOW] = nowNanos;
         recentErrors[outcomes++ % WINDOW] = failed;
         if (failed) {
             return;
         }
         RequestClass requestClass = request.requestClass();
         if (lane == Lane.SHORT) {
+            durationsAtNanos[durations % WINDOW] = nowNanos;
             recentNanos[durations++ % WINDOW] = nanos;
             meanShortNanos += (nanos - meanShortNanos) * MEAN_WEIGHT;
         } else {
@@ -102,27 +116,31 @@
         return lane == Lane.SHORT ? meanShortNanos : meanLongNanos;
     }
 
-    long medianMicros() {
-        int count = Math.min(durations, WINDOW);
-        if (count == 0) {
-            return 0;
-        }
-        long[] sorted = Arrays.copyOf(recentNanos, count);
-        Arrays.sort(sorted);
-        return TimeUnit.NANOSECONDS.toMicros(sorted[count / 2]);
+    long medianMicros(long nowNanos) {
+        long[] sorted =
+                IntStream.range(0, Math.min(durations, WINDOW))
+                        .filter(i -> recent(durationsAtNanos[i], nowNanos))
+                        .mapToLong(i -> recentNanos[i])
+                        .sorted()
+                        .toArray();
+        return sorted.length == 0 ? 0 : TimeUnit.NANOSECONDS.toMicros(sorted[sorted.length / 2]);
     }
 
-    int samples() {
-        return Math.min(outcomes, WINDOW);
+    int samples(long nowNanos) {
+        return (int) recentOutcomes(nowNanos).count();
     }
 
-    double errorShare() {
-        int count = samples();
-        int errors = 0;
-        for (int i = 0; i < count; i++) {
-            errors += recentErrors[i] ? 1 : 0;
-        }
-        return count == 0 ? 0 : (double) errors / count;
+    double errorShare(long nowNanos) {
+        return recentOutcomes(nowNanos).map(i -> recentErrors[i] ? 1 : 0).average().orElse(0);
+    }
+
+    private IntStream recentOutcomes(long nowNanos) {
+        return IntStream.range(0, Math.min(outcomes, WINDOW))
+                .filter(i -> recent(outcomesAtNanos[i], nowNanos));
+    }
+
+    private static boolean recent(long atNanos, long nowNanos) {
+        return nowNanos - atNanos <= SAMPLE_AGE_NANOS;
     }
 
     private void observe(Request request, boolean ranLong) {
--- a/src/main/java/org/azureshed/admission/TargetGate.java
+++ b/src/main/java/org/azureshed/admission/TargetGate.java
@@ -93,7 +93,8 @@
                                 ticket.lane(),
                                 ticket.movedToLong(),
                                 result == TicketResult.FAILED,
-                                nowNanos - ticket.admittedAtNanos());
+                                nowNanos - ticket.admittedAtNanos(),
+                                nowNanos);
                     }
                     return true;
                 });
@@ -111,9 +112,9 @@
                                 closedReason.isPresent() && info.state() == TargetState.READY
                                         ? TargetState.DRAINING
                                         : info.state(),
-                                times.medianMicros(),
-                                times.errorShare(),
-                                times.samples()));
+                                times.medianMicros(nowNanos),
+                                times.errorShare(nowNanos),
+                                times.samples(nowNanos)));
     }
 
     /** Completes when the gate is closed for good and no request holds a slot. */
--- a/src/main/java/org/azureshed/routing/TargetLoad.java
+++ b/src/main/java/org/azureshed/routing/TargetLoad.java
@@ -18,8 +18,8 @@
 
     private static final double SLOW_START_WEIGHT = 0.1;
 
-    /** Stands for no slot at all, so that the load is large but finite. */
-    private static final double NO_SLOT = 0.1;
+    /** Load of a target whose slots are all held by long work; far above that of a busy one. */
+    private static final double LOAD_WITHOUT_SLOTS = 8;
 
     private static final int MIN_SAMPLES = 4;
     private static final double ERROR_COST = 10;
@@ -71,8 +71,11 @@
 
     /** Load of the slots that long work leaves to short work. */
     double reportedLoad() {
-        double shortSlots = Math.max(NO_SLOT, report.slots() - report.longInFlight());
-        return (report.inFlight() - report.longInFlight() + report.queued() + NO_SLOT) / shortSlots;
+        int shortSlots = report.slots() - report.longInFlight();
+        if (shortSlots <= 0) {
+            return LOAD_WITHOUT_SLOTS + report.queued();
+        }
+        return (double) (report.inFlight() - report.longInFlight() + report.queued()) / shortSlots;
     }
 
     /** Long work competes with long work first, and with short work for free slots. */
--- a/src/main/java/org/azureshed/routing/TargetPicker.java
+++ b/src/main/java/org/azureshed/routing/TargetPicker.java
@@ -53,6 +53,7 @@
     private final Map<TargetId, TargetLoad> loads = new HashMap<>();
     private List<Candidate> known;
     private int knownEntryNodes;
+    private List<Candidate> anywhere = List.of();
     private List<Candidate> ready = List.of();
     private List<Candidate> subset = List.of();
     private double averageLoad;
@@ -70,7 +71,8 @@
     }
 
     /**
-     * Chooses a target. If no target of the subset can be used, all ready targets are considered.
+     * Chooses a target. If no target of the subset can be used, all ready targets of the region are
+     * considered, then those of all regions.
      *
      * @param request what the choice depends on
      * @param random random number
@@ -84,6 +86,7 @@
             SplittableRandom generator = new SplittableRandom(random);
             return choose(subset, request, generator, nowNanos)
                     .or(() -> choose(ready, request, generator, nowNanos))
+                    .or(() -> choose(anywhere, request, generator, nowNanos))
                     .map(
                             candidate -> {
                                 TargetLoad load = loads.get(candidate.target().id());
@@ -127,7 +130,7 @@
         boolean first = known == null;
         known = request.candidates();
         knownEntryNodes = request.entryNodes();
-        List<Candidate> anywhere = known.stream().filter(Candidate::ready).toList();
+        anywhere = known.stream().filter(Candidate::ready).toList();
         List<Candidate> near =
                 anywhere.stream().filter(c -> c.node().region().equals(region)).toList();
         ready = near.size() >= MIN_IN_REGION ? near : anywhere;
--- a/src/test/java/org/azureshed/admission/AdmissionTest.java
+++ b/src/test/java/org/azureshed/admission/AdmissionTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.RefusalReason;
 import org.azureshed.model.RequestClass;
@@ -258,6 +260,66 @@
         }
     }
 
+    @Test
+    void theReportForgetsOldSamples() {
+        apply(1, 50, TargetState.READY);
+        for (int i = 0; i < 4; i++) {
+            Ticket ticket = ticket(PAGE);
+            now += millis(10);
+            ticket.close(i == 0 ? TicketResult.FAILED : TicketResult.SUCCEEDED, now);
+        }
+        assertEquals(
+                new LoadReport(0, 0, 1, 0, TargetState.READY, 10_000, 0.25, 4),
+                admission.report(TARGET, now).orElseThrow());
+        now += millis(31_000);
+        assertEquals(
+                new LoadReport(0, 0, 1, 0, TargetState.READY, 0, 0, 0),
+                admission.report(TARGET, now).orElseThrow());
+    }
+
+    @Test
+    void threadsNeverHoldMoreTicketsThanSlots() throws InterruptedException {
+        admission.apply(List.of(info(4, TargetState.READY)), Map.of(), System.nanoTime());
+        AtomicInteger holding = new AtomicInteger();
+        AtomicInteger most = new AtomicInteger();
+        AtomicInteger served = new AtomicInteger();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            RequestClass requestClass = i % 4 == 0 ? EXPORT : FILING;
+            threads.add(
+                    Thread.startVirtualThread(
+                            () -> {
+                                for (int j = 0; j < 20; j++) {
+                                    Ticket ticket = await(requestClass);
+                                    if (ticket != null) {
+                                        most.accumulateAndGet(holding.incrementAndGet(), Math::max);
+                                        served.incrementAndGet();
+                                        Thread.yield();
+                                        holding.decrementAndGet();
+                                        ticket.close(TicketResult.SUCCEEDED, System.nanoTime());
+                                    }
+                                }
+                            }));
+        }
+        for (Thread thread : threads) {
+            assertTrue(thread.join(Duration.ofSeconds(20)), "a thread waits for ever");
+        }
+        assertTrue(most.get() <= 4, "tickets held at once: " + most);
+        assertTrue(served.get() > 0);
+        assertEquals(0, admission.report(TARGET, System.nanoTime()).orElseThrow().inFlight());
+    }
+
+    private Ticket await(RequestClass requestClass) {
+        long start = System.nanoTime();
+        Request request = new Request(TARGET, requestClass, "", "o", start + millis(2000));
+        try {
+            Decision decision = admission.admit(request, start).await(System::nanoTime);
+            return decision instanceof Ticket ticket ? ticket : null;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void awaitBlocksAVirtualThreadUntilItsWaitEnds() throws InterruptedException {
         admission.apply(List.of(info(1, TargetState.READY)), Map.of(), System.nanoTime());
--- a/src/test/java/org/azureshed/routing/Fleet.java
+++ b/src/test/java/org/azureshed/routing/Fleet.java
@@ -28,8 +28,17 @@
         return new Candidate(node("n" + index, "zone" + index % 2, List.of(target)), target);
     }
 
+    static Candidate inRegion(String region, int index) {
+        TargetInfo target = candidate(index, TargetState.READY).target();
+        return new Candidate(node("n" + index, region, "zone0", List.of(target)), target);
+    }
+
     static NodeInfo node(String id, String zone, List<TargetInfo> targets) {
+        return node(id, "north", zone, targets);
+    }
+
+    private static NodeInfo node(String id, String region, String zone, List<TargetInfo> targets) {
         return new NodeInfo(
-                new NodeId(id), "north", zone, ADDRESS, ADDRESS, ADDRESS, 1, 1, false, targets);
+                new NodeId(id), region, zone, ADDRESS, ADDRESS, ADDRESS, 1, 1, false, targets);
     }
 }
--- a/src/test/java/org/azureshed/routing/TargetPickerTest.java
+++ b/src/test/java/org/azureshed/routing/TargetPickerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 import org.azureshed.admission.LoadReport;
+import org.azureshed.model.NodeId;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetState;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,16 @@
         assertTrue(counts.getOrDefault(id(0), 0) < PICKS / 8 / 4, counts.toString());
     }
 
+    @Test
+    void shortWorkAvoidsATargetWhoseSlotsAreHeldByLongWork() {
+        LoadReport full = new LoadReport(4, 4, 4, 0, TargetState.READY, 10_000, 0, 64);
+        LoadReport busy = new LoadReport(4, 0, 4, 0, TargetState.READY, 10_000, 0, 64);
+
+        Map<TargetId, Integer> counts = count(fleet, id -> id.value().equals("t0") ? full : busy);
+
+        assertTrue(counts.getOrDefault(id(0), 0) < PICKS / 8 / 4, counts.toString());
+    }
+
     @Test
     void anOldReportLosesItsWeight() {
         count(fleet, id -> id.value().equals("t0") ? report(16, 10_000, 0) : report(0, 10_000, 0));
@@ -126,6 +137,17 @@
         assertTrue(pick(fleet, tried, id -> 100).isEmpty());
     }
 
+    @Test
+    void otherRegionsServeWhenEveryPathInTheOwnOneIsAvoided() {
+        List<Candidate> candidates = new ArrayList<>(fleet);
+        candidates.add(Fleet.inRegion("south", 8));
+        Set<NodeId> avoided = new HashSet<>();
+        fleet.forEach(candidate -> avoided.add(candidate.node().id()));
+        PickRequest request = new PickRequest(candidates, 1, Set.of(), avoided, false, id -> 100);
+
+        assertEquals(id(8), picker.pick(request, 1, now).orElseThrow().candidate().target().id());
+    }
+
     @ParameterizedTest
     @CsvSource({"56,2400,8", "8,1,8", "8,2400,4", "11,10,11", "3,2400,3", "5000,2400,729"})
     void theSubsetBoundsConnections(int targets, int entryNodes, int size) {
