--- a/src/main/java/org/azureshed/admission/ServiceTimes.java
+++ b/src/main/java/org/azureshed/admission/ServiceTimes.java
@@ -28,7 +28,13 @@
     private static final long SAMPLE_AGE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private static final int MAX_ROUTES = 256;
-    private static final long MIN_LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /**
+     * Shorter work never counts as long. Ordinary pages can take 32 times as long as a click, and
+     * must not lose slots for that.
+     */
+    private static final long MIN_LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private static final long INITIAL_SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long INITIAL_LONG_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final double MEAN_WEIGHT = 1.0 / 16;
