Assemble presets incrementally

Cause: at two years' scale a change comes every 19.6 s, and a node may use 1.9% of a core. Parsing the whole preset for each change took far more, and needed more than a node's heap of 112 MB comfortably holds.

Change: PresetAssembler keeps the parsed entries of the last preset and parses changed chunks only; PresetChunks.assemble uses it for a single assembly. References are checked over all chunks. The file parser builds paths only for faults and keeps small integers in small nodes. PresetIndex.activation names the change behind the activation in force; a refused conditional use named a later put of another preset before.

Conclusion: a node that follows changes has to use PresetAssembler.

--- a/src/main/java/org/azureshed/preset/JsonFields.java
+++ b/src/main/java/org/azureshed/preset/JsonFields.java
@@ -60,7 +60,7 @@
                     "the field is missing",
                     "add \"" + name + "\" with " + type);
         }
-        return value.filter(node -> isType(path(name), node, type, hasType));
+        return value.filter(node -> hasType.test(node) || isType(path(name), node, type, hasType));
     }
 
     boolean isType(String at, JsonNode value, String type, Predicate<JsonNode> hasType) {
@@ -84,7 +84,9 @@
     /** A text of a required form; {@code form} describes the pattern in the remedy. */
     String text(String name, Pattern pattern, String form) {
         Optional<JsonNode> value = required(name, "a text: " + form, JsonNode::isTextual);
-        value.ifPresent(node -> matches(path(name), node.textValue(), pattern, form));
+        value.map(JsonNode::textValue)
+                .filter(text -> !pattern.matcher(text).matches())
+                .ifPresent(text -> matches(path(name), text, pattern, form));
         return value.map(JsonNode::textValue).orElse("");
     }
 
--- a/src/main/java/org/azureshed/preset/PresetChunks.java
+++ b/src/main/java/org/azureshed/preset/PresetChunks.java
@@ -12,10 +12,11 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.azureshed.model.Preset;
 
 /**
@@ -64,7 +65,7 @@
 
     /** Copies the map. */
     public PresetChunks {
-        chunks = Map.copyOf(chunks);
+        chunks = Collections.unmodifiableMap(new LinkedHashMap<>(chunks));
     }
 
     /**
@@ -88,11 +89,15 @@
             }
             chunks.put(digest(content), content);
         }
-        ObjectNode manifest = JsonNodeFactory.instance.objectNode().put("name", preset.name());
-        ArrayNode digests = manifest.putArray("chunks");
-        chunks.keySet().forEach(digest -> digests.add(SHORT.encode(HEX.decode(digest))));
-        byte[] manifestBytes = bytes(manifest);
-        return Either.right(new PresetChunks(digest(manifestBytes), manifestBytes, chunks));
+        byte[] manifest = manifest(preset.name(), chunks.keySet());
+        return Either.right(new PresetChunks(digest(manifest), manifest, chunks));
+    }
+
+    static byte[] manifest(String name, Collection<String> digests) {
+        ObjectNode manifest = JsonNodeFactory.instance.objectNode().put("name", name);
+        ArrayNode array = manifest.putArray("chunks");
+        digests.forEach(digest -> array.add(SHORT.encode(HEX.decode(digest))));
+        return bytes(manifest);
     }
 
     /**
@@ -120,7 +125,8 @@
     }
 
     /**
-     * Puts a preset together again. Routes come sorted by id.
+     * Puts a preset together again. Its routes come in no particular order. A caller that follows
+     * changes uses {@link PresetAssembler}.
      *
      * @param manifestDigest digest that the manifest must have
      * @param manifest the manifest
@@ -129,26 +135,7 @@
      */
     public static Either<PresetError, Preset> assemble(
             String manifestDigest, byte[] manifest, Map<String, byte[]> chunks) {
-        Map<String, Map<String, JsonNode>> sections = new TreeMap<>();
-        SECTIONS.forEach(section -> sections.put(section, new TreeMap<>()));
-        ObjectNode tree = JsonNodeFactory.instance.objectNode();
-        Either<PresetError, List<String>> digests = digests(manifestDigest, manifest);
-        if (digests.isLeft()) {
-            return Either.left(digests.getLeft());
-        }
-        for (String digest : digests.get()) {
-            byte[] content = chunks.get(digest);
-            if (content == null) {
-                return Either.left(corrupt(digest, "it is missing"));
-            }
-            Either<PresetError, ObjectNode> chunk = parse(digest, content);
-            if (chunk.isLeft()) {
-                return Either.left(chunk.getLeft());
-            }
-            merge(chunk.get(), tree, sections);
-        }
-        sections.forEach((section, entries) -> tree.set(section, section(section, entries)));
-        return PresetCodec.decode(KIND + "/" + manifestDigest, tree);
+        return new PresetAssembler().assemble(manifestDigest, manifest, chunks);
     }
 
     /**
@@ -204,28 +191,8 @@
         return new PresetError.EntryTooLarge(start, content.length, MAX_CHUNK_BYTES);
     }
 
-    private static void merge(
-            ObjectNode chunk, ObjectNode tree, Map<String, Map<String, JsonNode>> sections) {
-        for (var field : chunk.properties()) {
-            Map<String, JsonNode> section = sections.get(field.getKey());
-            if (section == null) {
-                tree.setAll((ObjectNode) field.getValue());
-            } else {
-                field.getValue()
-                        .properties()
-                        .forEach(entry -> section.put(entry.getKey(), entry.getValue()));
-            }
-        }
-    }
-
-    private static JsonNode section(String section, Map<String, JsonNode> entries) {
-        if (section.equals("routes")) {
-            return JsonNodeFactory.instance.arrayNode().addAll(entries.values());
-        }
-        return JsonNodeFactory.instance.objectNode().setAll(entries);
-    }
-
-    private static Either<PresetError, ObjectNode> parse(String digest, byte[] content) {
+    /** Checks the digest and parses a JSON object. */
+    static Either<PresetError, ObjectNode> parse(String digest, byte[] content) {
         if (!digest(content).equals(digest)) {
             return Either.left(corrupt(digest, "its digest does not match"));
         }
@@ -238,7 +205,7 @@
         }
     }
 
-    private static PresetError corrupt(String digest, String detail) {
+    static PresetError corrupt(String digest, String detail) {
         return new PresetError.Corrupt(KIND + "/" + digest, detail, REMEDY);
     }
 
--- a/src/main/java/org/azureshed/preset/PresetCodec.java
+++ b/src/main/java/org/azureshed/preset/PresetCodec.java
@@ -47,12 +47,6 @@
                 file, tree.flatMap(root -> new PresetReader(file, problems).read(root)), problems);
     }
 
-    /** Reads a preset from a tree that has no duplicate fields. */
-    static Either<PresetError, Preset> decode(String source, ObjectNode tree) {
-        List<PresetProblem> problems = new ArrayList<>();
-        return result(source, new PresetReader(source, problems).read(tree), problems);
-    }
-
     private static Either<PresetError, Preset> result(
             String file, Optional<Preset> preset, List<PresetProblem> problems) {
         return preset.<Either<PresetError, Preset>>map(Either::right)
--- a/src/main/java/org/azureshed/preset/PresetIndex.java
+++ b/src/main/java/org/azureshed/preset/PresetIndex.java
@@ -146,6 +146,19 @@
         return changes.stream().filter(change -> change.number() == number).findFirst();
     }
 
+    /**
+     * The change that led to the activation in force. Later changes of other presets have the same
+     * activation number.
+     *
+     * @return the change, or empty if it is older than the kept ones or there is none yet
+     */
+    public Optional<PresetChange> activation() {
+        return changes.stream()
+                .filter(change -> change.activationNumber() == activationNumber)
+                .filter(change -> change.preset().equals(inForce))
+                .findFirst();
+    }
+
     /** The index after a preset's content was replaced. */
     PresetIndex afterPut(String preset, String manifest, Origin origin) {
         long revision = revision(preset) + 1;
--- a/src/main/java/org/azureshed/preset/PresetOperations.java
+++ b/src/main/java/org/azureshed/preset/PresetOperations.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.azureshed.model.Preset;
 import org.azureshed.platform.ObjectKey;
@@ -99,7 +98,7 @@
             String name, PresetChunks chunks, IndexVersion base, ChangeRequest request) {
         long revision = base.index().revision(name);
         if (request.expected().orElse(revision) != revision) {
-            return lostTo(base.index(), change -> change.preset().equals(name));
+            return Either.left(new PresetError.LostRace(lastPut(base.index(), name)));
         }
         PresetIndex next =
                 base.index().afterPut(name, chunks.manifestDigest(), origin(base, request));
@@ -125,7 +124,7 @@
             return Either.left(new PresetError.UnknownPreset(name, index.presets().keySet()));
         }
         if (request.expected().orElse(index.activationNumber()) != index.activationNumber()) {
-            return lostTo(index, change -> change.activationNumber() == index.activationNumber());
+            return Either.left(new PresetError.LostRace(index.activation()));
         }
         // A preset whose content is gone must not come into force.
         return readManifest(index.presets().get(name).manifest())
@@ -193,11 +192,11 @@
                 request.fleetNumber());
     }
 
-    private static Either<PresetError, PresetChange> lostTo(
-            PresetIndex index, Predicate<PresetChange> isWinner) {
-        return Either.left(
-                new PresetError.LostRace(
-                        index.changes().reversed().stream().filter(isWinner).findFirst()));
+    private static Optional<PresetChange> lastPut(PresetIndex index, String preset) {
+        return index.changes().reversed().stream()
+                .filter(change -> change.kind() == PresetChange.Kind.PUT)
+                .filter(change -> change.preset().equals(preset))
+                .findFirst();
     }
 
     private Either<PresetError, Integer> writeChunks(
--- a/src/main/java/org/azureshed/preset/PresetReader.java
+++ b/src/main/java/org/azureshed/preset/PresetReader.java
@@ -58,46 +58,73 @@
             return Optional.empty();
         }
         JsonFields fields = fields("$", object);
+        PresetHead head = head(fields);
+        Map<String, ServicePolicy> services = services(fields);
+        Map<String, RequestClass> classes = classes(fields);
+        List<Route> routes = routes(fields, services.keySet(), classes.keySet());
+        Map<String, OrganisationLimit> organisations =
+                fields.optional("organisations").isEmpty() ? Map.of() : organisations(fields);
+        fields.rejectOthers();
+        return problems.isEmpty()
+                ? Optional.of(head.preset(services, classes, routes, organisations))
+                : Optional.empty();
+    }
+
+    /**
+     * Reads one chunk of a preset. References between chunks are not checked.
+     *
+     * @return the entries of the chunk; empty if there are problems
+     */
+    Optional<PresetPart> readPart(ObjectNode chunk) {
+        JsonFields fields = fields("$", chunk);
+        PresetPart part =
+                new PresetPart(
+                        fields.optional("head")
+                                .filter(ObjectNode.class::isInstance)
+                                .map(node -> head(fields("$.head", (ObjectNode) node))),
+                        chunk.has("services") ? services(fields) : Map.of(),
+                        chunk.has("classes") ? classes(fields) : Map.of(),
+                        chunk.has("routes")
+                                ? section(fields, "routes", NAME, NAME_FORM, this::storedRoute)
+                                : Map.of(),
+                        chunk.has("organisations") ? organisations(fields) : Map.of());
+        fields.rejectOthers();
+        return problems.isEmpty() ? Optional.of(part) : Optional.empty();
+    }
+
+    private PresetHead head(JsonFields fields) {
         String name = fields.text("name", NAME, NAME_FORM);
         String purpose = fields.text("purpose", "what the preset is for");
         String useWhen = fields.text("useWhen", "when to put the preset in force");
         String watch = fields.text("watch", "what to watch while the preset is in force");
         String header =
                 fields.text("organisationHeader", TOKEN, "the name of an HTTP request header");
-        Map<String, ServicePolicy> services =
-                section(fields, "services", NAME, NAME_FORM, this::service);
-        Map<String, RequestClass> classes =
-                section(fields, "classes", NAME, NAME_FORM, this::requestClass);
-        List<Route> routes = routes(fields, services.keySet(), classes.keySet());
-        Map<String, OrganisationLimit> organisations =
-                fields.optional("organisations").isEmpty()
-                        ? Map.of()
-                        : section(
-                                fields,
-                                "organisations",
-                                ORGANISATION,
-                                ORGANISATION_FORM,
-                                (organisation, limit) -> limit(limit));
         Optional<OrganisationLimit> defaultLimit =
                 fields.required("defaultLimit", "an object", JsonNode::isObject)
                         .map(node -> fields(fields.path("defaultLimit"), (ObjectNode) node))
                         .map(this::limit);
-        fields.rejectOthers();
-        if (!problems.isEmpty()) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                new Preset(
-                        name,
-                        purpose,
-                        useWhen,
-                        watch,
-                        header,
-                        services,
-                        classes,
-                        routes,
-                        organisations,
-                        defaultLimit.orElseThrow()));
+        return new PresetHead(name, purpose, useWhen, watch, header, defaultLimit);
+    }
+
+    private Map<String, ServicePolicy> services(JsonFields fields) {
+        return section(fields, "services", NAME, NAME_FORM, this::service);
+    }
+
+    private Map<String, RequestClass> classes(JsonFields fields) {
+        return section(fields, "classes", NAME, NAME_FORM, this::requestClass);
+    }
+
+    private Map<String, OrganisationLimit> organisations(JsonFields fields) {
+        return section(
+                fields,
+                "organisations",
+                ORGANISATION,
+                ORGANISATION_FORM,
+                (organisation, limit) -> limit(limit));
+    }
+
+    private Route storedRoute(String id, JsonFields fields) {
+        return route(fields, Optional.empty(), Optional.empty());
     }
 
     private JsonFields fields(String path, ObjectNode object) {
@@ -167,7 +194,7 @@
             if (parent.isType(path, node, "an object", JsonNode::isObject)) {
                 JsonFields fields = fields(path, (ObjectNode) node);
                 int before = problems.size();
-                Route route = route(fields, services, classes);
+                Route route = route(fields, Optional.of(services), Optional.of(classes));
                 if (problems.size() == before) {
                     checkUnique(fields, route, path, ids, matches);
                     routes.add(route);
@@ -177,7 +204,9 @@
         return routes;
     }
 
-    private Route route(JsonFields fields, Set<String> services, Set<String> classes) {
+    /** Reads a route; references are checked against the defined names if they are given. */
+    private Route route(
+            JsonFields fields, Optional<Set<String>> services, Optional<Set<String>> classes) {
         String id = fields.text("id", NAME, NAME_FORM);
         String host = fields.text("host", HOST, "a host name without port, or * for all");
         String path = fields.text("path", PATH, "a path that begins with / and has no ? or #");
@@ -185,13 +214,14 @@
         String service = reference(fields, "service", "services", services);
         String requestClass = reference(fields, "requestClass", "classes", classes);
         fields.rejectOthers();
+        // Thousands of routes share these texts.
         return new Route(
                 placeholder(id),
-                host,
+                host.intern(),
                 path.startsWith("/") ? path : "/",
                 methods,
-                service,
-                requestClass);
+                service.intern(),
+                requestClass.intern());
     }
 
     private static Set<String> methods(JsonFields fields) {
@@ -222,9 +252,9 @@
     }
 
     private static String reference(
-            JsonFields fields, String field, String section, Set<String> defined) {
+            JsonFields fields, String field, String section, Optional<Set<String>> defined) {
         String name = fields.text(field, "a name under \"" + section + "\"");
-        if (!name.isBlank() && !defined.contains(name)) {
+        if (!name.isBlank() && defined.isPresent() && !defined.get().contains(name)) {
             fields.problem(
                     Kind.MISSING_REFERENCE,
                     fields.path(field),
--- a/src/main/java/org/azureshed/preset/StrictJson.java
+++ b/src/main/java/org/azureshed/preset/StrictJson.java
@@ -10,6 +10,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import org.azureshed.preset.PresetProblem.Kind;
@@ -25,6 +27,9 @@
     private final String file;
     private final List<PresetProblem> problems;
 
+    /** Field names (texts) and array indexes (integers) from the root to the current value. */
+    private final Deque<Object> position = new ArrayDeque<>();
+
     private StrictJson(String file, List<PresetProblem> problems) {
         this.file = file;
         this.problems = problems;
@@ -44,7 +49,7 @@
                 problems.add(malformed(file, "the file is empty"));
                 return Optional.empty();
             }
-            JsonNode root = new StrictJson(file, problems).value(parser, "$");
+            JsonNode root = new StrictJson(file, problems).value(parser);
             if (parser.nextToken() != null) {
                 problems.add(malformed(file, "there is text after the JSON value"));
                 return Optional.empty();
@@ -72,23 +77,19 @@
                 Kind.MALFORMED_JSON, file, "$", detail, "write one JSON object in UTF-8");
     }
 
-    private JsonNode value(JsonParser parser, String path) throws IOException {
+    private JsonNode value(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
         if (token == JsonToken.START_OBJECT) {
-            return object(parser, path);
+            return object(parser);
         }
         if (token == JsonToken.START_ARRAY) {
-            ArrayNode array = NODES.arrayNode();
-            while (parser.nextToken() != JsonToken.END_ARRAY) {
-                array.add(value(parser, path + "[" + array.size() + "]"));
-            }
-            return array;
+            return array(parser);
         }
         if (token == JsonToken.VALUE_STRING) {
             return NODES.textNode(parser.getText());
         }
         if (token == JsonToken.VALUE_NUMBER_INT) {
-            return NODES.numberNode(parser.getBigIntegerValue());
+            return integer(parser);
         }
         if (token == JsonToken.VALUE_NUMBER_FLOAT) {
             return NODES.numberNode(parser.getDecimalValue());
@@ -98,24 +99,53 @@
                 : NODES.booleanNode(token == JsonToken.VALUE_TRUE);
     }
 
-    private ObjectNode object(JsonParser parser, String path) throws IOException {
+    private static JsonNode integer(JsonParser parser) throws IOException {
+        return switch (parser.getNumberType()) {
+            case INT -> NODES.numberNode(parser.getIntValue());
+            case LONG -> NODES.numberNode(parser.getLongValue());
+            default -> NODES.numberNode(parser.getBigIntegerValue());
+        };
+    }
+
+    private ArrayNode array(JsonParser parser) throws IOException {
+        ArrayNode array = NODES.arrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            position.addLast(array.size());
+            array.add(value(parser));
+            position.removeLast();
+        }
+        return array;
+    }
+
+    private ObjectNode object(JsonParser parser) throws IOException {
         ObjectNode object = NODES.objectNode();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
-            String fieldPath = JsonFields.child(path, name);
+            position.addLast(name);
             parser.nextToken();
-            JsonNode value = value(parser, fieldPath);
-            if (object.has(name)) {
+            JsonNode previous = object.replace(name, value(parser));
+            if (previous != null) {
                 problems.add(
                         new PresetProblem(
                                 Kind.DUPLICATE,
                                 file,
-                                fieldPath,
+                                path(),
                                 "\"" + name + "\" is there twice",
                                 "keep one of them or rename one"));
             }
-            object.set(name, value);
+            position.removeLast();
         }
         return object;
     }
+
+    private String path() {
+        String path = "$";
+        for (Object step : position) {
+            path =
+                    step instanceof String name
+                            ? JsonFields.child(path, name)
+                            : path + "[" + step + "]";
+        }
+        return path;
+    }
 }
--- a/src/test/java/org/azureshed/preset/PresetChunksTest.java
+++ b/src/test/java/org/azureshed/preset/PresetChunksTest.java
@@ -25,6 +25,8 @@
     private static final Preset FULL = TestPresets.preset("full", "scale", 30_000, 71_000).build();
     private static final PresetChunks CHUNKS = PresetChunks.split(FULL).get();
 
+    private static final PresetAssembler ASSEMBLER = new PresetAssembler();
+
     /** A node may spend 4 KB/s on control traffic, and 4,400 changes a day come every 19.6 s. */
     private static final int MAX_BYTES_PER_CHANGE = 64 * 1024;
 
@@ -83,9 +85,18 @@
                         routes,
                         organisations,
                         FULL.defaultLimit());
-        Set<String> added = new HashSet<>(PresetChunks.split(edited).get().chunks().keySet());
-        added.removeAll(CHUNKS.chunks().keySet());
+        PresetChunks next = PresetChunks.split(edited).get();
+        Map<String, byte[]> added = new HashMap<>(next.chunks());
+        added.keySet().removeAll(CHUNKS.chunks().keySet());
         assertEquals(expectedNew, added.size());
+        // Shared by all cases, because the first assembly parses every chunk.
+        PresetAssembler assembler = ASSEMBLER;
+        assembler.assemble(CHUNKS.manifestDigest(), CHUNKS.manifest(), CHUNKS.chunks()).get();
+        List<String> digests = PresetChunks.digests(next.manifestDigest(), next.manifest()).get();
+        assertEquals(added.keySet(), Set.copyOf(assembler.missing(digests)));
+        Preset assembled = assembler.assemble(next.manifestDigest(), next.manifest(), added).get();
+        assertEquals(Set.copyOf(routes), Set.copyOf(assembled.routes()));
+        assertEquals(organisations, assembled.organisations());
     }
 
     @Test
@@ -100,6 +111,22 @@
                 PresetError.Corrupt.class, assemble("{}".getBytes(), CHUNKS.chunks()).getLeft());
     }
 
+    @Test
+    void refusesChunksThatDoNotFitTogether() {
+        List<String> digests = new ArrayList<>(CHUNKS.chunks().keySet());
+        String head = digests.removeLast();
+        String services = digests.getFirst();
+        for (String left : List.of(head, services)) {
+            List<String> kept = new ArrayList<>(CHUNKS.chunks().keySet());
+            kept.remove(left);
+            byte[] manifest = PresetChunks.manifest("full", kept);
+            PresetError error =
+                    PresetChunks.assemble(PresetChunks.digest(manifest), manifest, CHUNKS.chunks())
+                            .getLeft();
+            assertInstanceOf(PresetError.Corrupt.class, error);
+        }
+    }
+
     @Test
     void refusesAnEntryThatIsLargerThanAChunk() {
         Preset preset = TestPresets.small("big", "x".repeat(PresetChunks.MAX_CHUNK_BYTES));
