Add the decision code of ejection

Cause: gray targets stay in service because their health endpoints lag or mislead, and several nodes that act on their own views could eject more capacity than the floor allows.

All of it is free of input, output, clock and random numbers.

--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/Evidence.java
@@ -0,0 +1,45 @@
+package org.azureshed.ejection;
+
+/**
+ * Why a target was found to be an outlier.
+ *
+ * @param kind what was compared
+ * @param requestClass class of the requests; empty for crashes
+ * @param value the target's value: median service time in microseconds, error share in 0 to 1, or
+ *     number of crashes
+ * @param peers median of the same value at its peers
+ * @param samples requests behind the value
+ * @param severity how bad the target is; larger is worse
+ */
+public record Evidence(
+        Kind kind, String requestClass, double value, double peers, int samples, double severity) {
+    /** What was compared. */
+    public enum Kind {
+        /** The median service time. */
+        SLOW,
+        /** The share of failed requests. */
+        ERRORS,
+        /** Crashes that no common request explains. */
+        CRASH_LOOP
+    }
+
+    /** Ten times slower weighs as much as all requests failing. */
+    private static final double ERROR_SEVERITY = 10;
+
+    /** A target in a crash loop serves nothing, so it is readmitted last. */
+    private static final double CRASH_SEVERITY = 1_000;
+
+    static Evidence slow(String requestClass, double micros, double peers, int samples) {
+        double ratio = peers > 0 ? micros / peers : 1;
+        return new Evidence(Kind.SLOW, requestClass, micros, peers, samples, ratio);
+    }
+
+    static Evidence errors(String requestClass, double share, double peers, int samples) {
+        double severity = 1 + ERROR_SEVERITY * (share - peers);
+        return new Evidence(Kind.ERRORS, requestClass, share, peers, samples, severity);
+    }
+
+    static Evidence crashLoop(int crashes) {
+        return new Evidence(Kind.CRASH_LOOP, "", crashes, 0, crashes, CRASH_SEVERITY);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/Readmission.java
@@ -0,0 +1,38 @@
+package org.azureshed.ejection;
+
+/**
+ * Progress of one hosted target within its stage.
+ *
+ * @param stage the stage
+ * @param enteredMillis when this node learned of the stage
+ * @param lastProbeMillis when it was probed last
+ * @param goodProbes good probes in a row
+ */
+record Readmission(Stage stage, long enteredMillis, long lastProbeMillis, int goodProbes) {
+    /** Good probes in a row that start the readmission. */
+    static final int NEEDED_PROBES = 3;
+
+    /** Longest window of a digest, so that no sample from before the ejection is judged. */
+    private static final long FIRST_WAIT_MILLIS = 30_000;
+
+    private static final int MAX_DOUBLINGS = 5;
+
+    static Readmission entered(Stage stage, long nowMillis) {
+        return new Readmission(stage, nowMillis, 0, 0);
+    }
+
+    boolean mayProbe(int relapses, long nowMillis) {
+        long wait = FIRST_WAIT_MILLIS << Math.min(relapses, MAX_DOUBLINGS);
+        return stage == Stage.EJECTED
+                && goodProbes < NEEDED_PROBES
+                && nowMillis - enteredMillis >= wait;
+    }
+
+    Readmission probed(long nowMillis) {
+        return new Readmission(stage, enteredMillis, nowMillis, goodProbes);
+    }
+
+    Readmission answered(boolean good) {
+        return new Readmission(stage, enteredMillis, lastProbeMillis, good ? goodProbes + 1 : 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/SampleRing.java
@@ -0,0 +1,71 @@
+package org.azureshed.ejection;
+
+import java.util.Arrays;
+
+/** The newest samples of one target and class. Not thread-safe. */
+final class SampleRing {
+    /** Bounds the memory of a target and class to about 7 KB. */
+    private static final int CAPACITY = 512;
+
+    private static final int MIN_SAMPLES = OutlierDetector.MIN_SAMPLES;
+
+    /** Shortest window; a busy target is judged once in this time. */
+    private static final long WINDOW_MICROS = 1_000_000;
+
+    /** Longest window; older samples say nothing about the present. */
+    private static final long MAX_WINDOW_MICROS = 30_000_000;
+
+    private final long[] endMicros = new long[CAPACITY];
+    private final long[] serviceMicros = new long[CAPACITY];
+    private final boolean[] failed = new boolean[CAPACITY];
+    private long count;
+
+    void add(long nowMicros, long micros, boolean error) {
+        int slot = (int) (count % CAPACITY);
+        endMicros[slot] = nowMicros;
+        serviceMicros[slot] = micros;
+        failed[slot] = error;
+        count++;
+    }
+
+    /** Median service time of the samples held, 0 without samples. */
+    long medianMicros() {
+        int size = (int) Math.min(count, CAPACITY);
+        long[] times = Arrays.copyOf(serviceMicros, size);
+        Arrays.sort(times);
+        return size == 0 ? 0 : times[size / 2];
+    }
+
+    /**
+     * Summarises the samples of the last window. The window grows backwards until it has enough
+     * samples, so that a slow target, which ends few requests, can be judged too.
+     *
+     * @param stuckMicros elapsed times of requests that are running unusually long
+     */
+    ClassDigest digest(String requestClass, long nowMicros, long[] stuckMicros) {
+        long[] times = Arrays.copyOf(stuckMicros, CAPACITY + stuckMicros.length);
+        int timed = stuckMicros.length;
+        int errors = 0;
+        long oldest = nowMicros;
+        long available = Math.min(count, CAPACITY);
+        for (long back = 1; back <= available; back++) {
+            int slot = (int) ((count - back) % CAPACITY);
+            long age = nowMicros - endMicros[slot];
+            boolean enough = timed + errors >= MIN_SAMPLES && age > WINDOW_MICROS;
+            if (enough || age > MAX_WINDOW_MICROS) {
+                break;
+            }
+            oldest = endMicros[slot];
+            if (failed[slot]) {
+                errors++;
+            } else {
+                times[timed++] = serviceMicros[slot];
+            }
+        }
+        Arrays.sort(times, 0, timed);
+        long span = Math.max(WINDOW_MICROS, nowMicros - oldest) / 1_000;
+        long median = timed == 0 ? 0 : times[timed / 2];
+        long p90 = timed == 0 ? 0 : times[timed * 9 / 10];
+        return new ClassDigest(requestClass, timed + errors, errors, median, p90, span);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/ServiceState.java
@@ -0,0 +1,194 @@
+package org.azureshed.ejection;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import java.util.HashSet;
+import java.util.Set;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.TargetId;
+
+/**
+ * What a node knows of the ejections of one service.
+ *
+ * @param floorPercent share of the announced slots that must serve
+ * @param nodes number of nodes that may propose
+ * @param targets announced targets
+ * @param readySinceMillis when each target was first seen ready
+ * @param goneSinceMillis when each target of the record was first missed
+ * @param detector the evidence
+ * @param record the agreed record as far as known
+ * @param version its version
+ * @param operation the change under way
+ * @param readmissions progress of the hosted targets in the record
+ * @param crashLoops hosted targets in a crash loop and their crashes
+ */
+record ServiceState(
+        int floorPercent,
+        int nodes,
+        Map<TargetId, TargetView> targets,
+        Map<TargetId, Long> readySinceMillis,
+        Map<TargetId, Long> goneSinceMillis,
+        DetectorState detector,
+        EjectionRecord record,
+        long version,
+        Operation operation,
+        Map<TargetId, Readmission> readmissions,
+        Map<TargetId, Integer> crashLoops) {
+    /** A target with cold caches is slower than its peers for about this time. */
+    static final long COLD_START_MILLIS = 30_000;
+
+    /** Without a preset nothing may be ejected. */
+    private static final int NO_EJECTION = 100;
+
+    static ServiceState initial(String service) {
+        return new ServiceState(
+                NO_EJECTION,
+                1,
+                HashMap.empty(),
+                HashMap.empty(),
+                HashMap.empty(),
+                DetectorState.empty(),
+                EjectionRecord.empty(service),
+                0,
+                new Operation.Idle(),
+                HashMap.empty(),
+                HashMap.empty());
+    }
+
+    FloorCheck floor() {
+        return new FloorCheck(targets.toJavaMap().values(), floorPercent);
+    }
+
+    /** Targets that are compared with each other: ready, past their cold start, not ejected. */
+    Set<TargetId> comparable(long nowMillis) {
+        Set<TargetId> result = new HashSet<>();
+        for (TargetView target : targets.values()) {
+            boolean warm =
+                    readySinceMillis
+                            .get(target.id())
+                            .exists(since -> nowMillis - since >= COLD_START_MILLIS);
+            if (target.ready() && warm && record.percentOf(target.id()) > 0) {
+                result.add(target.id());
+            }
+        }
+        return result;
+    }
+
+    ServiceState seen(EjectionEvent.ServiceSeen event, long nowMillis) {
+        Map<TargetId, TargetView> views = HashMap.empty();
+        Map<TargetId, Long> since = HashMap.empty();
+        Set<TargetId> ids = new HashSet<>();
+        for (TargetView target : event.targets()) {
+            ids.add(target.id());
+            views = views.put(target.id(), target);
+            if (target.ready()) {
+                since = since.put(target.id(), readySinceMillis.getOrElse(target.id(), nowMillis));
+            }
+        }
+        return new ServiceState(
+                event.floorPercent(),
+                event.nodes(),
+                views,
+                since,
+                goneSinceMillis,
+                detector.retain(ids),
+                record,
+                version,
+                operation,
+                readmissions.filterKeys(ids::contains),
+                crashLoops.filterKeys(ids::contains));
+    }
+
+    /** Follows another version of the record. */
+    ServiceState adopt(EjectionRecord next, long nextVersion, NodeId self, long nowMillis) {
+        DetectorState evidence = detector;
+        Map<TargetId, Readmission> progress = HashMap.empty();
+        for (EjectedTarget entry : next.targets()) {
+            TargetId id = entry.target();
+            boolean stageChanged =
+                    !record.find(id)
+                            .map(EjectedTarget::stage)
+                            .equals(java.util.Optional.of(entry.stage()));
+            if (stageChanged && entry.stage() == Stage.EJECTED) {
+                evidence = evidence.without(id);
+            }
+            if (entry.node().equals(self)) {
+                Readmission fresh = Readmission.entered(entry.stage(), nowMillis);
+                progress =
+                        progress.put(id, stageChanged ? fresh : readmissions.getOrElse(id, fresh));
+            }
+        }
+        return new ServiceState(
+                floorPercent,
+                nodes,
+                targets,
+                readySinceMillis,
+                goneSinceMillis.filterKeys(id -> next.find(id).isPresent()),
+                evidence,
+                next,
+                nextVersion,
+                operation,
+                progress,
+                crashLoops.filterKeys(id -> next.find(id).isEmpty()));
+    }
+
+    /** Notes since when targets of the record are no longer announced. */
+    ServiceState trackGone(long nowMillis) {
+        Map<TargetId, Long> gone = HashMap.empty();
+        for (EjectedTarget entry : record.targets()) {
+            if (!targets.containsKey(entry.target())) {
+                gone =
+                        gone.put(
+                                entry.target(),
+                                goneSinceMillis.getOrElse(entry.target(), nowMillis));
+            }
+        }
+        return withMaps(gone, detector, readmissions, crashLoops);
+    }
+
+    ServiceState withDetector(DetectorState next) {
+        return withMaps(goneSinceMillis, next, readmissions, crashLoops);
+    }
+
+    ServiceState withReadmission(TargetId target, Readmission next) {
+        return withMaps(goneSinceMillis, detector, readmissions.put(target, next), crashLoops);
+    }
+
+    ServiceState withCrashLoop(TargetId target, int crashes) {
+        return withMaps(goneSinceMillis, detector, readmissions, crashLoops.put(target, crashes));
+    }
+
+    ServiceState withOperation(Operation next) {
+        return new ServiceState(
+                floorPercent,
+                nodes,
+                targets,
+                readySinceMillis,
+                goneSinceMillis,
+                detector,
+                record,
+                version,
+                next,
+                readmissions,
+                crashLoops);
+    }
+
+    private ServiceState withMaps(
+            Map<TargetId, Long> gone,
+            DetectorState evidence,
+            Map<TargetId, Readmission> progress,
+            Map<TargetId, Integer> loops) {
+        return new ServiceState(
+                floorPercent,
+                nodes,
+                targets,
+                readySinceMillis,
+                gone,
+                evidence,
+                record,
+                version,
+                operation,
+                progress,
+                loops);
+    }
+}
