--- /dev/null
+++ b/src/main/java/org/azureshed/bench/AgreedEjector.java
@@ -0,0 +1,144 @@
+package org.azureshed.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.azureshed.ejection.DetectorTuning;
+import org.azureshed.ejection.EjectedTarget;
+import org.azureshed.ejection.EjectionEffect;
+import org.azureshed.ejection.EjectionEvent;
+import org.azureshed.ejection.EjectionRecord;
+import org.azureshed.ejection.EjectionReducer;
+import org.azureshed.ejection.EjectionState;
+import org.azureshed.ejection.FloorCheck;
+import org.azureshed.ejection.HostMeter;
+import org.azureshed.ejection.Stage;
+import org.azureshed.ejection.TargetView;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.TargetId;
+
+/** Three nodes with the real reducer, each of which hosts a third of the targets. */
+final class AgreedEjector extends FleetSimulation.Ejector {
+    private static final int NODES = 3;
+
+    /** Time of one call to the platform. */
+    private static final long CALL_MICROS = 5_000;
+
+    private static final long PROBE_MICROS = 25_000;
+
+    private final FleetSimulation simulation;
+    private final HostMeter meter;
+    private final EjectionReducer reducer;
+    private final List<EjectionState> nodes = new ArrayList<>();
+    private EjectionRecord stored = EjectionRecord.empty(FleetSimulation.SERVICE);
+    private EjectionRecord inForce = stored;
+    private long version;
+
+    AgreedEjector(FleetSimulation simulation, HostMeter meter, DetectorTuning tuning) {
+        this.simulation = simulation;
+        this.meter = meter;
+        this.reducer = new EjectionReducer(tuning);
+        for (int node = 0; node < NODES; node++) {
+            nodes.add(EjectionState.initial(new NodeId("node-" + node)));
+        }
+    }
+
+    @Override
+    int percent(TargetId target) {
+        return inForce.percentOf(target);
+    }
+
+    @Override
+    void tick() {
+        long nowMillis = simulation.nowMicros() / 1_000;
+        List<TargetView> views = views();
+        for (int node = 0; node < NODES; node++) {
+            reduce(
+                    node,
+                    new EjectionEvent.ServiceSeen(
+                            FleetSimulation.SERVICE, FleetSimulation.FLOOR_PERCENT, NODES, views));
+            reduce(node, new EjectionEvent.RecordHeard(stored, version));
+        }
+        for (FleetSimulation.Target target : simulation.targets()) {
+            if (target.ended > 0) {
+                meter.digest(target.id, simulation.nowMicros())
+                        .ifPresent(
+                                digest -> {
+                                    for (int node = 0; node < NODES; node++) {
+                                        reduce(
+                                                node,
+                                                new EjectionEvent.DigestReceived(
+                                                        FleetSimulation.SERVICE,
+                                                        target.id,
+                                                        digest));
+                                    }
+                                });
+            }
+        }
+        for (int node = 0; node < NODES; node++) {
+            reduce(node, new EjectionEvent.Tick(nowMillis, simulation.randomSeed()));
+        }
+        inForce = nodes.get(0).enforcedRecordOf(FleetSimulation.SERVICE);
+    }
+
+    private List<TargetView> views() {
+        List<TargetView> views = new ArrayList<>();
+        for (int i = 0; i < simulation.targets().size(); i++) {
+            FleetSimulation.Target target = simulation.targets().get(i);
+            NodeId node = new NodeId("node-" + i % NODES);
+            views.add(new TargetView(target.id, node, target.slots, !target.starting));
+        }
+        return views;
+    }
+
+    private void reduce(int node, EjectionEvent event) {
+        var step = reducer.reduce(nodes.get(node), event);
+        nodes.set(node, step.state());
+        for (EjectionEffect effect : step.effects()) {
+            carryOut(node, effect);
+        }
+    }
+
+    private void carryOut(int node, EjectionEffect effect) {
+        switch (effect) {
+            case EjectionEffect.ReadRecord read ->
+                    simulation.schedule(
+                            CALL_MICROS,
+                            () -> reduce(node, new EjectionEvent.RecordRead(stored, version, 0)));
+            case EjectionEffect.WriteRecord write ->
+                    simulation.schedule(CALL_MICROS, () -> write(node, write));
+            // The health endpoint of a gray target misleads: every probe succeeds.
+            case EjectionEffect.Probe(String service, TargetId target) ->
+                    simulation.schedule(
+                            PROBE_MICROS,
+                            () ->
+                                    reduce(
+                                            node,
+                                            new EjectionEvent.ProbeFinished(
+                                                    service, target, true)));
+            case EjectionEffect.RecordChanged changed ->
+                    inForce = nodes.get(0).enforcedRecordOf(FleetSimulation.SERVICE);
+        }
+    }
+
+    private void write(int node, EjectionEffect.WriteRecord write) {
+        if (write.expectedVersion() != version) {
+            reduce(node, new EjectionEvent.WriteConflicted(FleetSimulation.SERVICE));
+            return;
+        }
+        for (EjectedTarget entry : write.record().targets()) {
+            boolean already =
+                    stored.find(entry.target())
+                            .filter(old -> old.stage() == Stage.EJECTED)
+                            .isPresent();
+            if (entry.stage() == Stage.EJECTED && !already) {
+                simulation.ejected(entry.target());
+            }
+        }
+        stored = write.record();
+        version++;
+        if (!new FloorCheck(views(), FleetSimulation.FLOOR_PERCENT).holds(stored)) {
+            simulation.result().floorViolations++;
+        }
+        reduce(node, new EjectionEvent.WriteSucceeded(stored, version));
+    }
+}
--- a/src/main/java/org/azureshed/ejection/ClassDigest.java
+++ b/src/main/java/org/azureshed/ejection/ClassDigest.java
@@ -8,7 +8,10 @@
  * @param requestClass name of the class
  * @param samples requests that ended within the window; shed and refused ones are not counted
  * @param errors how many of them failed
- * @param medianMicros median service time of those that did not fail, in microseconds
+ * @param timed how many gave a service time: those that did not fail, and failed ones that took
+ *     longer than the median, such as time-outs
+ * @param medianMicros median service time, in microseconds
+ * @param p75Micros 75th percentile of the same, in microseconds
  * @param p90Micros 90th percentile of the same, in microseconds
  * @param spanMillis length of the window in milliseconds; longer if requests are rare
  */
@@ -16,27 +19,28 @@
         String requestClass,
         int samples,
         int errors,
+        int timed,
         long medianMicros,
+        long p75Micros,
         long p90Micros,
         long spanMillis) {
     /** Checks the fields. */
     public ClassDigest {
         checkArgument(!requestClass.isEmpty(), "class name of a digest is empty");
-        checkArgument(errors >= 0 && errors <= samples, "%s errors in %s samples", errors, samples);
         checkArgument(
-                medianMicros >= 0 && p90Micros >= medianMicros && spanMillis >= 0,
+                errors >= 0 && errors <= samples && timed >= 0 && timed <= samples,
+                "%s errors and %s times in %s samples",
+                errors,
+                timed,
+                samples);
+        checkArgument(
+                medianMicros >= 0
+                        && p75Micros >= medianMicros
+                        && p90Micros >= p75Micros
+                        && spanMillis >= 0,
                 "times of a digest must not be negative or out of order");
     }
 
-    /**
-     * Requests whose service time was measured.
-     *
-     * @return samples without errors
-     */
-    public int timed() {
-        return samples - errors;
-    }
-
     /**
      * Share of failed requests.
      *
--- a/src/main/java/org/azureshed/ejection/EjectionPlanner.java
+++ b/src/main/java/org/azureshed/ejection/EjectionPlanner.java
@@ -123,7 +123,7 @@
                         ? detector.outlierNow(
                                         service.detector(),
                                         entry.target(),
-                                        service.comparable(nowMillis),
+                                        service.comparableSince(),
                                         nowMillis)
                                 .or(() -> worseThanEvidence(service, entry))
                         : Optional.empty();
@@ -220,7 +220,7 @@
     /** Outliers at present, the worst first. */
     private List<Suspect> suspects(ServiceState service, long nowMillis) {
         List<Suspect> suspects = new ArrayList<>();
-        for (TargetId id : service.comparable(nowMillis)) {
+        for (TargetId id : service.comparableSince().keySet()) {
             detector.finding(service.detector(), id, nowMillis)
                     .ifPresent(
                             found ->
--- a/src/main/java/org/azureshed/ejection/EjectionRecordCodec.java
+++ b/src/main/java/org/azureshed/ejection/EjectionRecordCodec.java
@@ -40,7 +40,8 @@
                     .put("value", evidence.value())
                     .put("peers", evidence.peers())
                     .put("samples", evidence.samples())
-                    .put("severity", evidence.severity());
+                    .put("severity", evidence.severity())
+                    .put("significance", evidence.significance());
         }
         try {
             return MAPPER.writeValueAsBytes(root);
@@ -85,7 +86,8 @@
                         evidence.path("value").asDouble(),
                         evidence.path("peers").asDouble(),
                         evidence.path("samples").asInt(),
-                        evidence.path("severity").asDouble()));
+                        evidence.path("severity").asDouble(),
+                        evidence.path("significance").asDouble()));
     }
 
     private static String text(JsonNode node, String field) {
--- a/src/main/java/org/azureshed/ejection/EjectionReducer.java
+++ b/src/main/java/org/azureshed/ejection/EjectionReducer.java
@@ -36,10 +36,15 @@
 
     /** Creates a reducer with the default tuning. */
     public EjectionReducer() {
-        this(OutlierDetector.Tuning.DEFAULT);
+        this(DetectorTuning.DEFAULT);
     }
 
-    EjectionReducer(OutlierDetector.Tuning tuning) {
+    /**
+     * Creates a reducer with another tuning.
+     *
+     * @param tuning values of the detector
+     */
+    public EjectionReducer(DetectorTuning tuning) {
         this.detector = new OutlierDetector(tuning);
         this.planner = new EjectionPlanner(detector);
     }
@@ -95,9 +100,7 @@
             ServiceState service = state.service(name).trackGone(state.nowMillis());
             DetectorState evidence =
                     detector.evaluate(
-                            service.detector(),
-                            service.comparable(state.nowMillis()),
-                            state.nowMillis());
+                            service.detector(), service.comparableSince(), state.nowMillis());
             service = service.withDetector(evidence);
             Operation operation = advance(next, name, service, seed, effects);
             next = next.with(name, service.withOperation(operation));
--- a/src/main/java/org/azureshed/ejection/Evidence.java
+++ b/src/main/java/org/azureshed/ejection/Evidence.java
@@ -5,17 +5,24 @@
  *
  * @param kind what was compared
  * @param requestClass class of the requests; empty for crashes
- * @param value the target's value: median service time in microseconds, error share in 0 to 1, or
- *     number of crashes
+ * @param value the target's value: a service time in microseconds, error share in 0 to 1, or number
+ *     of crashes
  * @param peers median of the same value at its peers
  * @param samples requests behind the value
  * @param severity how bad the target is; larger is worse
+ * @param significance by how many standard errors the value exceeds the bound
  */
 public record Evidence(
-        Kind kind, String requestClass, double value, double peers, int samples, double severity) {
+        Kind kind,
+        String requestClass,
+        double value,
+        double peers,
+        int samples,
+        double severity,
+        double significance) {
     /** What was compared. */
     public enum Kind {
-        /** The median service time. */
+        /** The median or 75th percentile of the service time. */
         SLOW,
         /** The share of failed requests. */
         ERRORS,
@@ -29,17 +36,21 @@
     /** A target in a crash loop serves nothing, so it is readmitted last. */
     private static final double CRASH_SEVERITY = 1_000;
 
-    static Evidence slow(String requestClass, double micros, double peers, int samples) {
+    static Evidence slow(
+            String requestClass, double micros, double peers, int samples, double significance) {
         double ratio = peers > 0 ? micros / peers : 1;
-        return new Evidence(Kind.SLOW, requestClass, micros, peers, samples, ratio);
+        return new Evidence(Kind.SLOW, requestClass, micros, peers, samples, ratio, significance);
     }
 
-    static Evidence errors(String requestClass, double share, double peers, int samples) {
+    static Evidence errors(
+            String requestClass, double share, double peers, int samples, double significance) {
         double severity = 1 + ERROR_SEVERITY * (share - peers);
-        return new Evidence(Kind.ERRORS, requestClass, share, peers, samples, severity);
+        return new Evidence(
+                Kind.ERRORS, requestClass, share, peers, samples, severity, significance);
     }
 
     static Evidence crashLoop(int crashes) {
-        return new Evidence(Kind.CRASH_LOOP, "", crashes, 0, crashes, CRASH_SEVERITY);
+        return new Evidence(
+                Kind.CRASH_LOOP, "", crashes, 0, crashes, CRASH_SEVERITY, CRASH_SEVERITY);
     }
 }
--- a/src/main/java/org/azureshed/ejection/OutlierDetector.java
+++ b/src/main/java/org/azureshed/ejection/OutlierDetector.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.azureshed.ejection.DetectorState.Received;
 import org.azureshed.ejection.DetectorState.Score;
 import org.azureshed.ejection.DetectorState.Subject;
@@ -38,7 +38,13 @@
     private static final long MAX_AGE_MILLIS = 15_000;
 
     /** An outlier must have been one in a window not older than this to be reported. */
-    private static final long MAX_OUTLIER_AGE_MILLIS = 10_000;
+    private static final long MAX_OUTLIER_AGE_MILLIS = 20_000;
+
+    /** Keeps the standard error above zero if all service times are the same. */
+    private static final double MIN_SPREAD = 0.05;
+
+    /** Limits the weight of one window, so that no single window is enough. */
+    private static final double MAX_STRENGTH = 1;
 
     /** 90th percentile of the standard normal distribution. */
     private static final double NORMAL_P90 = 1.2816;
@@ -46,21 +52,12 @@
     /** Standard error of a median relative to that of a mean of normal values. */
     private static final double MEDIAN_ERROR = 1.2533;
 
-    private final Tuning tuning;
+    /** The same of a 75th percentile. */
+    private static final double P75_ERROR = 1.3626;
 
-    /**
-     * Values found by measurement.
-     *
-     * @param threshold score from which a target is reported
-     * @param halfLifeMillis time in which a score halves
-     * @param medianErrors standard errors by which a median is lowered before it is compared with
-     *     {@link #MIN_RATIO}
-     */
-    record Tuning(double threshold, long halfLifeMillis, double medianErrors) {
-        static final Tuning DEFAULT = new Tuning(2.5, 30_000, 0);
-    }
+    private final DetectorTuning tuning;
 
-    OutlierDetector(Tuning tuning) {
+    OutlierDetector(DetectorTuning tuning) {
         this.tuning = tuning;
     }
 
@@ -74,19 +71,18 @@
         return known ? state : state.withLatest(target, new Received(digest, nowMillis));
     }
 
-    /** Judges the windows that were not judged yet against the given peers. */
-    DetectorState evaluate(DetectorState state, Set<TargetId> peers, long nowMillis) {
-        Map<String, Map<TargetId, ClassDigest>> byClass = fresh(state, nowMillis);
+    /**
+     * Judges the windows that were not judged yet.
+     *
+     * @param comparableSince targets that are compared and since when; earlier windows are ignored
+     */
+    DetectorState evaluate(
+            DetectorState state, Map<TargetId, Long> comparableSince, long nowMillis) {
         DetectorState next = state;
-        for (var entry : byClass.entrySet()) {
-            for (var candidate : entry.getValue().entrySet()) {
-                next =
-                        judge(
-                                next,
-                                candidate.getKey(),
-                                candidate.getValue(),
-                                others(entry.getValue(), candidate.getKey(), peers),
-                                nowMillis);
+        for (var digests : fresh(state, comparableSince, nowMillis).values()) {
+            for (var candidate : digests.entrySet()) {
+                List<ClassDigest> others = others(digests, candidate.getKey());
+                next = judge(next, candidate.getKey(), candidate.getValue(), others, nowMillis);
             }
         }
         return next;
@@ -107,11 +103,14 @@
 
     /** Judges one window of one target on its own, or nothing if the peers are too few. */
     Optional<Boolean> outlierNow(
-            DetectorState state, TargetId target, Set<TargetId> peers, long nowMillis) {
+            DetectorState state,
+            TargetId target,
+            Map<TargetId, Long> comparableSince,
+            long nowMillis) {
         boolean judged = false;
-        for (var entry : fresh(state, nowMillis).entrySet()) {
+        for (var entry : fresh(state, comparableSince, nowMillis).entrySet()) {
             ClassDigest own = entry.getValue().get(target);
-            List<ClassDigest> others = others(entry.getValue(), target, peers);
+            List<ClassDigest> others = others(entry.getValue(), target);
             if (own != null && own.samples() >= MIN_SAMPLES && others.size() >= MIN_PEERS) {
                 judged = true;
                 if (compare(own, others).isPresent()) {
@@ -139,7 +138,7 @@
             return state;
         }
         Optional<Evidence> evidence = compare(own, others);
-        double value = decayed(old, nowMillis) + (evidence.isPresent() ? 1 : 0);
+        double value = decayed(old, nowMillis) + evidence.map(this::weight).orElse(0.0);
         return state.withScore(
                 subject,
                 new Score(
@@ -150,36 +149,80 @@
                         evidence.orElse(old.evidence())));
     }
 
+    /** A strong outlier needs fewer windows. */
+    private double weight(Evidence evidence) {
+        return 1 + Math.clamp(evidence.significance() * tuning.strengthWeight(), 0, MAX_STRENGTH);
+    }
+
     private Optional<Evidence> compare(ClassDigest own, List<ClassDigest> others) {
         return compareTimes(own, others).or(() -> compareErrors(own, others));
     }
 
     private Optional<Evidence> compareTimes(ClassDigest own, List<ClassDigest> others) {
-        double[] medians =
-                others.stream()
-                        .filter(other -> other.timed() >= MIN_SAMPLES)
-                        .mapToDouble(ClassDigest::medianMicros)
-                        .toArray();
-        if (own.timed() < MIN_SAMPLES || medians.length < MIN_PEERS || own.medianMicros() == 0) {
+        List<ClassDigest> timed =
+                others.stream().filter(other -> other.timed() >= MIN_SAMPLES).toList();
+        if (own.timed() < MIN_SAMPLES || timed.size() < MIN_PEERS) {
             return Optional.empty();
         }
-        RobustStatistics peers = RobustStatistics.of(medians);
-        double spread = Math.log((double) own.p90Micros() / own.medianMicros()) / NORMAL_P90;
-        double error = MEDIAN_ERROR * spread / Math.sqrt(own.timed());
-        double lowered = own.medianMicros() * Math.exp(-tuning.medianErrors() * error);
+        double spread =
+                RobustStatistics.of(timed.stream().mapToDouble(OutlierDetector::spread).toArray())
+                        .median();
+        double error = spread / Math.sqrt(own.timed());
+        return compareQuantile(
+                        own,
+                        timed,
+                        ClassDigest::medianMicros,
+                        MEDIAN_ERROR * error,
+                        tuning.medianErrors())
+                .or(
+                        () ->
+                                compareQuantile(
+                                        own,
+                                        timed,
+                                        ClassDigest::p75Micros,
+                                        P75_ERROR * error,
+                                        tuning.upperErrors()));
+    }
+
+    /**
+     * Compares one quantile.
+     *
+     * @param error standard error of the logarithm of the quantile
+     * @param neededErrors standard errors by which it has to exceed 1.5 times that of the peers
+     */
+    private static Optional<Evidence> compareQuantile(
+            ClassDigest own,
+            List<ClassDigest> others,
+            ToLongFunction<ClassDigest> quantile,
+            double error,
+            double neededErrors) {
+        RobustStatistics peers =
+                RobustStatistics.of(
+                        others.stream()
+                                .mapToDouble(other -> Math.max(1, quantile.applyAsLong(other)))
+                                .toArray());
+        double value = Math.max(1, quantile.applyAsLong(own));
+        double significance = Math.log(value / (MIN_RATIO * peers.median())) / error;
         boolean outlier =
-                lowered >= MIN_RATIO * peers.median()
-                        && peers.zScore(own.medianMicros(), error * peers.median()) > MIN_Z_SCORE;
+                significance >= neededErrors
+                        && peers.zScore(value, error * peers.median()) > MIN_Z_SCORE;
         return outlier
                 ? Optional.of(
                         Evidence.slow(
                                 own.requestClass(),
-                                own.medianMicros(),
+                                value,
                                 peers.median(),
-                                own.timed()))
+                                own.timed(),
+                                significance - neededErrors))
                 : Optional.empty();
     }
 
+    /** Standard deviation of the logarithm of the service time. */
+    private static double spread(ClassDigest digest) {
+        double ratio = (double) digest.p90Micros() / Math.max(1, digest.medianMicros());
+        return Math.max(MIN_SPREAD, Math.log(ratio) / NORMAL_P90);
+    }
+
     private static Optional<Evidence> compareErrors(ClassDigest own, List<ClassDigest> others) {
         RobustStatistics peers =
                 RobustStatistics.of(others.stream().mapToDouble(ClassDigest::errorShare).toArray());
@@ -195,7 +238,8 @@
                                 own.requestClass(),
                                 own.errorShare(),
                                 peers.median(),
-                                own.samples()))
+                                own.samples(),
+                                (own.errorShare() - peers.median()) / countingError - MIN_Z_SCORE))
                 : Optional.empty();
     }
 
@@ -205,27 +249,35 @@
     }
 
     private static Map<String, Map<TargetId, ClassDigest>> fresh(
-            DetectorState state, long nowMillis) {
+            DetectorState state, Map<TargetId, Long> comparableSince, long nowMillis) {
         Map<String, Map<TargetId, ClassDigest>> byClass = new HashMap<>();
-        state.latest()
-                .forEach(
-                        (target, received) -> {
-                            if (nowMillis - received.atMillis() <= MAX_AGE_MILLIS) {
-                                for (ClassDigest digest : received.digest().classes()) {
-                                    byClass.computeIfAbsent(
-                                                    digest.requestClass(), name -> new HashMap<>())
-                                            .put(target, digest);
-                                }
-                            }
-                        });
+        comparableSince.forEach(
+                (target, since) ->
+                        state.latest()
+                                .get(target)
+                                .filter(
+                                        received ->
+                                                nowMillis - received.atMillis() <= MAX_AGE_MILLIS)
+                                .forEach(received -> addFresh(byClass, target, received, since)));
         return byClass;
     }
 
-    private static List<ClassDigest> others(
-            Map<TargetId, ClassDigest> digests, TargetId target, Set<TargetId> peers) {
+    private static void addFresh(
+            Map<String, Map<TargetId, ClassDigest>> byClass,
+            TargetId target,
+            Received received,
+            long sinceMillis) {
+        for (ClassDigest digest : received.digest().classes()) {
+            if (received.atMillis() - digest.spanMillis() >= sinceMillis) {
+                byClass.computeIfAbsent(digest.requestClass(), name -> new HashMap<>())
+                        .put(target, digest);
+            }
+        }
+    }
+
+    private static List<ClassDigest> others(Map<TargetId, ClassDigest> digests, TargetId target) {
         return digests.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(target))
-                .filter(entry -> peers.contains(entry.getKey()))
                 .map(Map.Entry::getValue)
                 .filter(digest -> digest.samples() >= MIN_SAMPLES)
                 .toList();
--- a/src/main/java/org/azureshed/ejection/SampleRing.java
+++ b/src/main/java/org/azureshed/ejection/SampleRing.java
@@ -28,12 +28,18 @@
         count++;
     }
 
-    /** Median service time of the samples held, 0 without samples. */
+    /** Median service time of the requests held that did not fail, 0 without any. */
     long medianMicros() {
         int size = (int) Math.min(count, CAPACITY);
-        long[] times = Arrays.copyOf(serviceMicros, size);
-        Arrays.sort(times);
-        return size == 0 ? 0 : times[size / 2];
+        long[] times = new long[size];
+        int good = 0;
+        for (int slot = 0; slot < size; slot++) {
+            if (!failed[slot]) {
+                times[good++] = serviceMicros[slot];
+            }
+        }
+        Arrays.sort(times, 0, good);
+        return quantile(times, good, 50);
     }
 
     /**
@@ -43,29 +49,42 @@
      * @param stuckMicros elapsed times of requests that are running unusually long
      */
     ClassDigest digest(String requestClass, long nowMicros, long[] stuckMicros) {
+        long usual = medianMicros();
         long[] times = Arrays.copyOf(stuckMicros, CAPACITY + stuckMicros.length);
         int timed = stuckMicros.length;
+        int samples = stuckMicros.length;
         int errors = 0;
         long oldest = nowMicros;
         long available = Math.min(count, CAPACITY);
         for (long back = 1; back <= available; back++) {
             int slot = (int) ((count - back) % CAPACITY);
             long age = nowMicros - endMicros[slot];
-            boolean enough = timed + errors >= MIN_SAMPLES && age > WINDOW_MICROS;
+            boolean enough = timed >= MIN_SAMPLES && age > WINDOW_MICROS;
             if (enough || age > MAX_WINDOW_MICROS) {
                 break;
             }
             oldest = endMicros[slot];
-            if (failed[slot]) {
-                errors++;
-            } else {
+            samples++;
+            errors += failed[slot] ? 1 : 0;
+            // A fast failure says nothing about the service time, a time-out does.
+            if (!failed[slot] || serviceMicros[slot] > usual) {
                 times[timed++] = serviceMicros[slot];
             }
         }
         Arrays.sort(times, 0, timed);
         long span = Math.max(WINDOW_MICROS, nowMicros - oldest) / 1_000;
-        long median = timed == 0 ? 0 : times[timed / 2];
-        long p90 = timed == 0 ? 0 : times[timed * 9 / 10];
-        return new ClassDigest(requestClass, timed + errors, errors, median, p90, span);
+        return new ClassDigest(
+                requestClass,
+                samples,
+                errors,
+                timed,
+                quantile(times, timed, 50),
+                quantile(times, timed, 75),
+                quantile(times, timed, 90),
+                span);
+    }
+
+    private static long quantile(long[] sorted, int size, int percent) {
+        return size == 0 ? 0 : sorted[size * percent / 100];
     }
 }
--- a/src/main/java/org/azureshed/ejection/ServiceState.java
+++ b/src/main/java/org/azureshed/ejection/ServiceState.java
@@ -59,16 +59,16 @@
         return new FloorCheck(targets.toJavaMap().values(), floorPercent);
     }
 
-    /** Targets that are compared with each other: ready, past their cold start, not ejected. */
-    Set<TargetId> comparable(long nowMillis) {
-        Set<TargetId> result = new HashSet<>();
+    /**
+     * Targets that are compared with each other, and since when: ready, past their cold start, not
+     * ejected.
+     */
+    java.util.Map<TargetId, Long> comparableSince() {
+        java.util.Map<TargetId, Long> result = new java.util.HashMap<>();
         for (TargetView target : targets.values()) {
-            boolean warm =
-                    readySinceMillis
-                            .get(target.id())
-                            .exists(since -> nowMillis - since >= COLD_START_MILLIS);
-            if (target.ready() && warm && record.percentOf(target.id()) > 0) {
-                result.add(target.id());
+            Long ready = readySinceMillis.getOrElse(target.id(), null);
+            if (target.ready() && ready != null && record.percentOf(target.id()) > 0) {
+                result.put(target.id(), ready + COLD_START_MILLIS);
             }
         }
         return result;
--- a/src/main/java/org/azureshed/ejection/TargetDigest.java
+++ b/src/main/java/org/azureshed/ejection/TargetDigest.java
@@ -20,7 +20,7 @@
     public static final int MAX_CLASSES = 16;
 
     private static final int MAX_TEXT_LENGTH = 4096;
-    private static final int FIELDS = 6;
+    private static final int FIELDS = 8;
 
     /** Copies the list. */
     public TargetDigest {
@@ -31,7 +31,7 @@
      * Encodes the digest.
      *
      * @return text of visible ASCII characters without spaces, for example {@code
-     *     52000;page,40,1,51000,98000,1000}
+     *     52000;page,40,1,39,51000,72000,98000,1000}
      */
     public String encode() {
         StringBuilder text = new StringBuilder().append(windowEndMillis);
@@ -43,8 +43,12 @@
                     .append(',')
                     .append(digest.errors())
                     .append(',')
+                    .append(digest.timed())
+                    .append(',')
                     .append(digest.medianMicros())
                     .append(',')
+                    .append(digest.p75Micros())
+                    .append(',')
                     .append(digest.p90Micros())
                     .append(',')
                     .append(digest.spanMillis());
@@ -85,8 +89,10 @@
                 URLDecoder.decode(fields.get(0), StandardCharsets.UTF_8),
                 Integer.parseInt(fields.get(1)),
                 Integer.parseInt(fields.get(2)),
-                Long.parseLong(fields.get(3)),
+                Integer.parseInt(fields.get(3)),
                 Long.parseLong(fields.get(4)),
-                Long.parseLong(fields.get(5)));
+                Long.parseLong(fields.get(5)),
+                Long.parseLong(fields.get(6)),
+                Long.parseLong(fields.get(7)));
     }
 }
--- a/src/main/java/org/azureshed/poison/PoisonReducer.java
+++ b/src/main/java/org/azureshed/poison/PoisonReducer.java
@@ -20,6 +20,12 @@
     /** Bounds the memory of a flood of broken connections. */
     private static final int MAX_HELD = 1_024;
 
+    /**
+     * Longest time from taking an entry's remaining life to its arrival. Without this deduction two
+     * nodes would return an expired entry to each other for ever.
+     */
+    private static final long HOP_MILLIS = 3_000;
+
     private static final int MAX_CRASHES = 16;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int REQUEST_TIMEOUT = 408;
@@ -107,7 +113,8 @@
     private static PoisonState heard(PoisonState state, java.util.List<SuspectEntry> entries) {
         PoisonState next = state;
         for (SuspectEntry entry : entries) {
-            long remaining = Math.min(entry.remainingMillis(), PoisonState.LIFETIME_MILLIS);
+            long remaining =
+                    Math.min(entry.remainingMillis(), PoisonState.LIFETIME_MILLIS) - HOP_MILLIS;
             if (remaining > 0) {
                 next =
                         next.merge(
--- a/src/main/java/org/azureshed/poison/PoisonState.java
+++ b/src/main/java/org/azureshed/poison/PoisonState.java
@@ -129,7 +129,7 @@
                         .filterValues(list -> !list.isEmpty()));
     }
 
-    /** Merges an entry and keeps the earlier expiry, so that no exchange prolongs it. */
+    /** Merges an entry. The expiry that was known first stays, so that no exchange changes it. */
     PoisonState merge(Key key, Entry heard) {
         Entry merged =
                 entries.get(key)
@@ -137,9 +137,7 @@
                                 own ->
                                         new Entry(
                                                 own.cleared() || heard.cleared(),
-                                                Math.min(
-                                                        own.expiresMillis(),
-                                                        heard.expiresMillis())))
+                                                own.expiresMillis()))
                         .getOrElse(heard);
         return withEntries(entries.put(key, merged)).bounded();
     }
