Raise the bound of the 75th percentile to 5 standard errors

Cause: in a service in which 5% of the requests take ten times as long, the detector ejected healthy targets.

Change: the 75th percentile has to exceed its bound by 5 standard errors instead of 4. EjectionScenario has its own name because another bench has scenarios too.

--- a/src/main/java/org/azureshed/bench/EjectionBench.java
+++ b/src/main/java/org/azureshed/bench/EjectionBench.java
@@ -59,7 +59,7 @@
             }
         }
         for (Workload workload : Workload.all()) {
-            for (Scenario scenario : Scenario.values()) {
+            for (EjectionScenario scenario : EjectionScenario.values()) {
                 for (EjectionPolicy policy : policies) {
                     System.out.println(measure(workload, scenario, policy, seeds, tuning));
                 }
@@ -69,7 +69,7 @@
 
     static String measure(
             Workload workload,
-            Scenario scenario,
+            EjectionScenario scenario,
             EjectionPolicy policy,
             int seeds,
             DetectorTuning tuning) {
--- a/src/main/java/org/azureshed/bench/Scenario.java
+++ b/src/main/java/org/azureshed/bench/EjectionScenario.java
@@ -1,7 +1,7 @@
 package org.azureshed.bench;
 
 /** What happens to the simulated service. The fault, if any, starts at {@link #START_SECONDS}. */
-enum Scenario {
+enum EjectionScenario {
     HEALTHY(false, 300),
     SLOW_10X(true, 150),
     SLOW_2X(true, 150),
@@ -33,7 +33,7 @@
     private final boolean faulty;
     private final int seconds;
 
-    Scenario(boolean faulty, int seconds) {
+    EjectionScenario(boolean faulty, int seconds) {
         this.faulty = faulty;
         this.seconds = seconds;
     }
--- a/src/main/java/org/azureshed/bench/FleetSimulation.java
+++ b/src/main/java/org/azureshed/bench/FleetSimulation.java
@@ -64,7 +64,7 @@
     private record Event(long atMicros, long order, Request request, Runnable action) {}
 
     private final Workload workload;
-    private final Scenario scenario;
+    private final EjectionScenario scenario;
     private final SplittableRandom random;
     private final List<Target> targets = new ArrayList<>();
     private final HostMeter meter = new HostMeter();
@@ -80,13 +80,14 @@
     private long now;
     private long order;
 
-    FleetSimulation(Workload workload, Scenario scenario, EjectionPolicy policy, long seed) {
+    FleetSimulation(
+            Workload workload, EjectionScenario scenario, EjectionPolicy policy, long seed) {
         this(workload, scenario, policy, seed, org.azureshed.ejection.DetectorTuning.DEFAULT);
     }
 
     FleetSimulation(
             Workload workload,
-            Scenario scenario,
+            EjectionScenario scenario,
             EjectionPolicy policy,
             long seed,
             org.azureshed.ejection.DetectorTuning tuning) {
@@ -155,11 +156,11 @@
         boolean sick =
                 scenario.faulty()
                         && id.equals(targets.get(0).id)
-                        && now >= Scenario.START_SECONDS * SECOND;
+                        && now >= EjectionScenario.START_SECONDS * SECOND;
         if (!sick) {
             result.falseEjections++;
         } else if (result.detectedMicros < 0) {
-            result.detectedMicros = now - Scenario.START_SECONDS * SECOND;
+            result.detectedMicros = now - EjectionScenario.START_SECONDS * SECOND;
         }
     }
 
@@ -182,7 +183,7 @@
         Request request = new Request();
         request.arrivedMicros = now;
         request.requestClass = random.nextDouble() < workload.classes()[0].share() ? 0 : 1;
-        boolean counted = seconds() >= Scenario.START_SECONDS;
+        boolean counted = seconds() >= EjectionScenario.START_SECONDS;
         if (counted) {
             result.requests++;
         }
@@ -248,7 +249,7 @@
         ejector.ended(target.id, request.error);
         if (request.error) {
             fail(request);
-        } else if (request.requestClass == 0 && seconds() >= Scenario.START_SECONDS) {
+        } else if (request.requestClass == 0 && seconds() >= EjectionScenario.START_SECONDS) {
             result.shortLatency.recordValue(now - request.arrivedMicros);
         }
         while (target.running < target.slots && !target.queue.isEmpty()) {
@@ -262,7 +263,7 @@
     }
 
     private void fail(Request request) {
-        if (request.arrivedMicros >= Scenario.START_SECONDS * SECOND) {
+        if (request.arrivedMicros >= EjectionScenario.START_SECONDS * SECOND) {
             result.failed++;
         }
     }
--- a/src/main/java/org/azureshed/ejection/DetectorTuning.java
+++ b/src/main/java/org/azureshed/ejection/DetectorTuning.java
@@ -19,7 +19,7 @@
         double upperErrors,
         double strengthWeight) {
     /** The values in use. */
-    public static final DetectorTuning DEFAULT = new DetectorTuning(2.5, 90_000, 2, 4, 0.25);
+    public static final DetectorTuning DEFAULT = new DetectorTuning(2.5, 90_000, 2, 5, 0.25);
 
     /** Checks the fields. */
     public DetectorTuning {
