--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/OutlierDetector.java
@@ -0,0 +1,285 @@
+package org.azureshed.ejection;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+import org.azureshed.ejection.DetectorState.Received;
+import org.azureshed.ejection.DetectorState.Score;
+import org.azureshed.ejection.DetectorState.Subject;
+import org.azureshed.model.TargetId;
+
+/**
+ * Finds the targets of one service that are slower or fail more often than their peers.
+ *
+ * <p>Targets are compared per class, each against all others, so neither a different mix of classes
+ * nor a service that is slow as a whole makes an outlier. Each window in which a target is an
+ * outlier adds to a score that decays with time; a flapping target therefore keeps part of its
+ * score through its good phases.
+ */
+final class OutlierDetector {
+    /** Fewer peers give no usable spread. */
+    static final int MIN_PEERS = 5;
+
+    /** Fewer samples give no usable median or error share. */
+    static final int MIN_SAMPLES = 20;
+
+    /** A slow target is at least this many times slower than the median of its peers. */
+    static final double MIN_RATIO = 1.5;
+
+    /** An outlier's error share is at least this much above the median of its peers. */
+    static final double MIN_ERROR_MARGIN = 0.05;
+
+    /** Usual bound of the modified z-score for outliers. */
+    private static final double MIN_Z_SCORE = 3.5;
+
+    /** Digests older than this say nothing about the present. */
+    private static final long MAX_AGE_MILLIS = 15_000;
+
+    /** An outlier must have been one in a window not older than this to be reported. */
+    private static final long MAX_OUTLIER_AGE_MILLIS = 20_000;
+
+    /** Keeps the standard error above zero if all service times are the same. */
+    private static final double MIN_SPREAD = 0.05;
+
+    /** Limits the weight of one window, so that no single window is enough. */
+    private static final double MAX_STRENGTH = 1;
+
+    /** 90th percentile of the standard normal distribution. */
+    private static final double NORMAL_P90 = 1.2816;
+
+    /** Standard error of a median relative to that of a mean of normal values. */
+    private static final double MEDIAN_ERROR = 1.2533;
+
+    /** The same of a 75th percentile. */
+    private static final double P75_ERROR = 1.3626;
+
+    private final DetectorTuning tuning;
+
+    OutlierDetector(DetectorTuning tuning) {
+        this.tuning = tuning;
+    }
+
+    /** Takes in a digest. Repeated digests of the same window have no effect. */
+    DetectorState observe(
+            DetectorState state, TargetId target, TargetDigest digest, long nowMillis) {
+        boolean known =
+                state.latest()
+                        .get(target)
+                        .exists(old -> old.digest().windowEndMillis() == digest.windowEndMillis());
+        return known ? state : state.withLatest(target, new Received(digest, nowMillis));
+    }
+
+    /**
+     * Judges the windows that were not judged yet.
+     *
+     * @param comparableSince targets that are compared and since when; earlier windows are ignored
+     */
+    DetectorState evaluate(
+            DetectorState state, Map<TargetId, Long> comparableSince, long nowMillis) {
+        DetectorState next = state;
+        for (var digests : fresh(state, comparableSince, nowMillis).values()) {
+            for (var candidate : digests.entrySet()) {
+                List<ClassDigest> others = others(digests, candidate.getKey());
+                next = judge(next, candidate.getKey(), candidate.getValue(), others, nowMillis);
+            }
+        }
+        return next;
+    }
+
+    /** The evidence against a target, if it is an outlier at present. */
+    Optional<Evidence> finding(DetectorState state, TargetId target, long nowMillis) {
+        return state.latest().get(target).toJavaOptional().stream()
+                .flatMap(received -> received.digest().classes().stream())
+                .map(digest -> new Subject(target, digest.requestClass()))
+                .flatMap(subject -> state.scores().get(subject).toJavaStream())
+                .filter(score -> score.evidence() != null)
+                .filter(score -> decayed(score, nowMillis) >= tuning.threshold())
+                .filter(score -> nowMillis - score.outlierAtMillis() <= MAX_OUTLIER_AGE_MILLIS)
+                .map(Score::evidence)
+                .max(java.util.Comparator.comparingDouble(Evidence::severity));
+    }
+
+    /** Judges one window of one target on its own, or nothing if the peers are too few. */
+    Optional<Boolean> outlierNow(
+            DetectorState state,
+            TargetId target,
+            Map<TargetId, Long> comparableSince,
+            long nowMillis) {
+        boolean judged = false;
+        for (var entry : fresh(state, comparableSince, nowMillis).entrySet()) {
+            ClassDigest own = entry.getValue().get(target);
+            List<ClassDigest> others = others(entry.getValue(), target);
+            if (own != null && own.samples() >= MIN_SAMPLES && others.size() >= MIN_PEERS) {
+                judged = true;
+                if (compare(own, others).isPresent()) {
+                    return Optional.of(true);
+                }
+            }
+        }
+        return judged ? Optional.of(false) : Optional.empty();
+    }
+
+    private DetectorState judge(
+            DetectorState state,
+            TargetId target,
+            ClassDigest own,
+            List<ClassDigest> others,
+            long nowMillis) {
+        Subject subject = new Subject(target, own.requestClass());
+        long windowEnd = state.latest().get(target).get().digest().windowEndMillis();
+        Score old =
+                state.scores().getOrElse(subject, new Score(0, nowMillis, Long.MIN_VALUE, 0, null));
+        // A host that restarted has a smaller clock; its windows count from there.
+        boolean restarted = windowEnd < old.countedToMillis();
+        boolean overlaps = !restarted && windowEnd - own.spanMillis() < old.countedToMillis();
+        if (overlaps || own.samples() < MIN_SAMPLES || others.size() < MIN_PEERS) {
+            return state;
+        }
+        Optional<Evidence> evidence = compare(own, others);
+        double value = decayed(old, nowMillis) + evidence.map(this::weight).orElse(0.0);
+        return state.withScore(
+                subject,
+                new Score(
+                        value,
+                        nowMillis,
+                        windowEnd,
+                        evidence.isPresent() ? nowMillis : old.outlierAtMillis(),
+                        evidence.orElse(old.evidence())));
+    }
+
+    /** A strong outlier needs fewer windows. */
+    private double weight(Evidence evidence) {
+        return 1 + Math.clamp(evidence.significance() * tuning.strengthWeight(), 0, MAX_STRENGTH);
+    }
+
+    private Optional<Evidence> compare(ClassDigest own, List<ClassDigest> others) {
+        return compareTimes(own, others).or(() -> compareErrors(own, others));
+    }
+
+    private Optional<Evidence> compareTimes(ClassDigest own, List<ClassDigest> others) {
+        List<ClassDigest> timed =
+                others.stream().filter(other -> other.timed() >= MIN_SAMPLES).toList();
+        if (own.timed() < MIN_SAMPLES || timed.size() < MIN_PEERS) {
+            return Optional.empty();
+        }
+        double spread =
+                RobustStatistics.of(timed.stream().mapToDouble(OutlierDetector::spread).toArray())
+                        .median();
+        double error = spread / Math.sqrt(own.timed());
+        return compareQuantile(
+                        own,
+                        timed,
+                        ClassDigest::medianMicros,
+                        MEDIAN_ERROR * error,
+                        tuning.medianErrors())
+                .or(
+                        () ->
+                                compareQuantile(
+                                        own,
+                                        timed,
+                                        ClassDigest::p75Micros,
+                                        P75_ERROR * error,
+                                        tuning.upperErrors()));
+    }
+
+    /**
+     * Compares one quantile.
+     *
+     * @param error standard error of the logarithm of the quantile
+     * @param neededErrors standard errors by which it has to exceed 1.5 times that of the peers
+     */
+    private static Optional<Evidence> compareQuantile(
+            ClassDigest own,
+            List<ClassDigest> others,
+            ToLongFunction<ClassDigest> quantile,
+            double error,
+            double neededErrors) {
+        RobustStatistics peers =
+                RobustStatistics.of(
+                        others.stream()
+                                .mapToDouble(other -> Math.max(1, quantile.applyAsLong(other)))
+                                .toArray());
+        double value = Math.max(1, quantile.applyAsLong(own));
+        double significance = Math.log(value / (MIN_RATIO * peers.median())) / error;
+        boolean outlier =
+                significance >= neededErrors
+                        && peers.zScore(value, error * peers.median()) > MIN_Z_SCORE;
+        return outlier
+                ? Optional.of(
+                        Evidence.slow(
+                                own.requestClass(),
+                                value,
+                                peers.median(),
+                                own.timed(),
+                                significance - neededErrors))
+                : Optional.empty();
+    }
+
+    /** Standard deviation of the logarithm of the service time. */
+    private static double spread(ClassDigest digest) {
+        double ratio = (double) digest.p90Micros() / Math.max(1, digest.medianMicros());
+        return Math.max(MIN_SPREAD, Math.log(ratio) / NORMAL_P90);
+    }
+
+    private static Optional<Evidence> compareErrors(ClassDigest own, List<ClassDigest> others) {
+        RobustStatistics peers =
+                RobustStatistics.of(others.stream().mapToDouble(ClassDigest::errorShare).toArray());
+        // The spread of a share cannot be below that of counting, even if all peers have none.
+        double share = Math.max(peers.median(), 1.0 / own.samples());
+        double countingError = Math.sqrt(share * (1 - share) / own.samples());
+        boolean outlier =
+                own.errorShare() >= peers.median() + MIN_ERROR_MARGIN
+                        && peers.zScore(own.errorShare(), countingError) > MIN_Z_SCORE;
+        return outlier
+                ? Optional.of(
+                        Evidence.errors(
+                                own.requestClass(),
+                                own.errorShare(),
+                                peers.median(),
+                                own.samples(),
+                                (own.errorShare() - peers.median()) / countingError - MIN_Z_SCORE))
+                : Optional.empty();
+    }
+
+    private double decayed(Score score, long nowMillis) {
+        double halves = (double) (nowMillis - score.atMillis()) / tuning.halfLifeMillis();
+        return score.value() * Math.pow(0.5, Math.max(0, halves));
+    }
+
+    private static Map<String, Map<TargetId, ClassDigest>> fresh(
+            DetectorState state, Map<TargetId, Long> comparableSince, long nowMillis) {
+        Map<String, Map<TargetId, ClassDigest>> byClass = new HashMap<>();
+        comparableSince.forEach(
+                (target, since) ->
+                        state.latest()
+                                .get(target)
+                                .filter(
+                                        received ->
+                                                nowMillis - received.atMillis() <= MAX_AGE_MILLIS)
+                                .forEach(received -> addFresh(byClass, target, received, since)));
+        return byClass;
+    }
+
+    private static void addFresh(
+            Map<String, Map<TargetId, ClassDigest>> byClass,
+            TargetId target,
+            Received received,
+            long sinceMillis) {
+        for (ClassDigest digest : received.digest().classes()) {
+            if (received.atMillis() - digest.spanMillis() >= sinceMillis) {
+                byClass.computeIfAbsent(digest.requestClass(), name -> new HashMap<>())
+                        .put(target, digest);
+            }
+        }
+    }
+
+    private static List<ClassDigest> others(Map<TargetId, ClassDigest> digests, TargetId target) {
+        return digests.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(target))
+                .map(Map.Entry::getValue)
+                .filter(digest -> digest.samples() >= MIN_SAMPLES)
+                .toList();
+    }
+}
