Remove targets that stopped to announce themselves

Cause: a killed target cannot withdraw, so its record stayed for ever and drew retries. Change: a target that is silent for 5 s (five announcements) is removed; ticks no longer starve under load; the feed reuses parsed parts of the last preset. Conclusion: dead targets leave the view in 5 s.

--- a/src/main/java/org/azureshed/control/ControlLoop.java
+++ b/src/main/java/org/azureshed/control/ControlLoop.java
@@ -22,6 +22,7 @@
     private volatile Snapshot snapshot;
     private volatile boolean stopped;
     private ControlState state;
+    private long lastTickMillis;
 
     /**
      * Creates a loop that is not running yet.
@@ -73,7 +74,14 @@
         while (!stopped) {
             try {
                 ControlEvent event = queue.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
-                reduce(event != null ? event : new ControlEvent.Tick(nowMillis()));
+                long now = nowMillis();
+                if (now - lastTickMillis >= TICK_MILLIS) {
+                    lastTickMillis = now;
+                    reduce(new ControlEvent.Tick(now));
+                }
+                if (event != null) {
+                    reduce(event);
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
--- a/src/main/java/org/azureshed/control/ControlReducer.java
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -6,6 +6,7 @@
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
 
 /**
@@ -42,10 +43,14 @@
 
     private static Step<ControlState, Effect> reduceOwn(ControlState state, ControlEvent event) {
         return switch (event) {
-            case ControlEvent.Tick(long now) -> Step.of(state.withNow(now));
-            case ControlEvent.TargetAnnounced(TargetInfo target) -> announce(state, target);
-            case ControlEvent.TargetWithdrawn(var id) ->
-                    changeTargets(state, without(state.self().targets(), id));
+            case ControlEvent.Tick(long now) -> expire(state.withNow(now));
+            case ControlEvent.TargetAnnounced(TargetInfo target) ->
+                    announce(
+                            state.withAnnouncements(
+                                    state.announcements()
+                                            .announced(target.id(), state.nowMillis())),
+                            target);
+            case ControlEvent.TargetWithdrawn(TargetId id) -> withdraw(state, id);
             case ControlEvent.NodesListed(var nodes) -> listed(state, nodes);
             case ControlEvent.NodeSeen(NodeInfo node) -> seen(state, node);
             case ControlEvent.NodeDeleted(NodeId id) -> deleted(state, id);
@@ -65,8 +70,28 @@
         return changeTargets(state, targets);
     }
 
-    private static List<TargetInfo> without(
-            List<TargetInfo> targets, org.azureshed.model.TargetId id) {
+    private static Step<ControlState, Effect> withdraw(ControlState state, TargetId id) {
+        return changeTargets(
+                state.withAnnouncements(state.announcements().withdrawn(id)),
+                without(state.self().targets(), id));
+    }
+
+    /** Removes targets that have stopped to announce themselves. */
+    private static Step<ControlState, Effect> expire(ControlState state) {
+        List<TargetId> expired = state.announcements().expired(state.nowMillis());
+        if (expired.isEmpty()) {
+            return Step.of(state);
+        }
+        Announcements announcements = state.announcements();
+        List<TargetInfo> targets = new ArrayList<>(state.self().targets());
+        for (TargetId id : expired) {
+            announcements = announcements.withdrawn(id);
+            targets.removeIf(target -> target.id().equals(id));
+        }
+        return changeTargets(state.withAnnouncements(announcements), targets);
+    }
+
+    private static List<TargetInfo> without(List<TargetInfo> targets, TargetId id) {
         List<TargetInfo> rest = new ArrayList<>(targets);
         rest.removeIf(target -> target.id().equals(id));
         return rest;
--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -20,6 +20,7 @@
  * @param routes route table of the preset in force
  * @param nowMillis time of the last tick
  * @param fleet what gossip and distribution know
+ * @param announcements when the targets of this VM announced themselves last
  */
 public record ControlState(
         NodeInfo self,
@@ -27,7 +28,8 @@
         Optional<ActivePreset> active,
         RouteTable routes,
         long nowMillis,
-        FleetState fleet) {
+        FleetState fleet,
+        Announcements announcements) {
     /**
      * State of a node that has just started.
      *
@@ -41,15 +43,16 @@
                 Optional.empty(),
                 RouteTable.of(List.of()),
                 0,
-                FleetState.initial(self));
+                FleetState.initial(self),
+                Announcements.empty());
     }
 
     ControlState withSelf(NodeInfo newSelf) {
-        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet);
+        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet, announcements);
     }
 
     ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
-        return new ControlState(self, newNodes, active, routes, nowMillis, fleet);
+        return new ControlState(self, newNodes, active, routes, nowMillis, fleet, announcements);
     }
 
     ControlState withActive(ActivePreset newActive) {
@@ -59,15 +62,20 @@
                 Optional.of(newActive),
                 RouteTable.of(newActive.preset().routes()),
                 nowMillis,
-                fleet);
+                fleet,
+                announcements);
     }
 
     ControlState withNow(long newNowMillis) {
-        return new ControlState(self, nodes, active, routes, newNowMillis, fleet);
+        return new ControlState(self, nodes, active, routes, newNowMillis, fleet, announcements);
     }
 
     ControlState withFleet(FleetState newFleet) {
-        return new ControlState(self, nodes, active, routes, nowMillis, newFleet);
+        return new ControlState(self, nodes, active, routes, nowMillis, newFleet, announcements);
+    }
+
+    ControlState withAnnouncements(Announcements newAnnouncements) {
+        return new ControlState(self, nodes, active, routes, nowMillis, fleet, newAnnouncements);
     }
 
     Snapshot snapshot() {
--- a/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
+++ b/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.azureshed.control.ActivePreset;
 import org.azureshed.distribution.Announcement;
@@ -19,6 +20,7 @@
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.platform.StoreError;
 import org.azureshed.platform.StoredObject;
+import org.azureshed.preset.PresetAssembler;
 import org.azureshed.preset.PresetChunks;
 import org.azureshed.preset.PresetIndex;
 import org.azureshed.telemetry.EventLog;
@@ -34,6 +36,11 @@
     private final Consumer<ActivePreset> active;
     private final IndexWriteBack writeBack;
 
+    /** Guards the assembler, which reuses the parts of the last preset. */
+    private final ReentrantLock assembleLock = new ReentrantLock();
+
+    private final PresetAssembler assembler = new PresetAssembler();
+
     /** Used on the control thread only. */
     private Thread watcher;
 
@@ -107,22 +114,25 @@
         // A preset of 30,000 routes takes longer to read than the control thread may pause.
         Thread.ofVirtual()
                 .name("preset-activation")
-                .start(
-                        () ->
-                                PresetChunks.assemble(activate.manifest().hex(), manifest, chunks)
-                                        .peek(
-                                                preset ->
-                                                        active.accept(
-                                                                new ActivePreset(
-                                                                        activate.number(), preset)))
-                                        .peekLeft(
-                                                error ->
-                                                        EventLog.warning("preset_refused")
-                                                                .with(
-                                                                        "activation",
-                                                                        activate.number())
-                                                                .with("error", error.message())
-                                                                .write()));
+                .start(() -> assemble(activate, manifest, chunks));
+    }
+
+    private void assemble(
+            DistributionEffect.Activate activate, byte[] manifest, Map<String, byte[]> chunks) {
+        assembleLock.lock();
+        try {
+            assembler
+                    .assemble(activate.manifest().hex(), manifest, chunks)
+                    .peek(preset -> active.accept(new ActivePreset(activate.number(), preset)))
+                    .peekLeft(
+                            error ->
+                                    EventLog.warning("preset_refused")
+                                            .with("activation", activate.number())
+                                            .with("error", error.message())
+                                            .write());
+        } finally {
+            assembleLock.unlock();
+        }
     }
 
     private void follow() {
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
@@ -25,6 +27,7 @@
 
     private final PlatformStandIn platform = new PlatformStandIn(0);
     private final List<NodeApplication> nodes = new ArrayList<>();
+    private final ScheduledExecutorService announcer = Executors.newSingleThreadScheduledExecutor();
 
     /** Starts the platform and puts the preset of {@code examples/ordinary.json} in force. */
     public FleetInProcess() throws IOException {
@@ -71,8 +74,10 @@
                         .filter(candidate -> candidate.settings().equals(node))
                         .findFirst()
                         .orElseThrow();
-        application.announce(
-                new TargetAnnouncement(id, service, "127.0.0.1:" + port, slots, "ready"));
+        TargetAnnouncement announcement =
+                new TargetAnnouncement(id, service, "127.0.0.1:" + port, slots, "ready");
+        announcer.scheduleAtFixedRate(
+                () -> application.announce(announcement), 0, 1, TimeUnit.SECONDS);
         for (NodeApplication other : nodes) {
             await(() -> knows(other, service, id), "target " + id);
         }
@@ -108,6 +113,7 @@
 
     @Override
     public void close() {
+        announcer.shutdownNow();
         nodes.reversed().forEach(NodeApplication::close);
         platform.close();
     }
