--- /dev/null
+++ b/src/main/java/org/azureshed/idempotency/StoredAnswer.java
@@ -0,0 +1,41 @@
+package org.azureshed.idempotency;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.protobuf.ByteString;
+import java.util.Map;
+
+/**
+ * Answer that is repeated to later requests with the same key.
+ *
+ * @param status HTTP status
+ * @param headers headers to repeat
+ * @param body body; empty if the answer was too large to keep
+ */
+public record StoredAnswer(int status, Map<String, String> headers, ByteString body) {
+    /** Largest body in bytes. */
+    public static final int MAX_BODY_BYTES = 8 << 10;
+
+    /** Checks the size and copies the headers. */
+    public StoredAnswer {
+        checkArgument(body.size() <= MAX_BODY_BYTES, "body of a stored answer is over 8 KB");
+        headers = Map.copyOf(headers);
+    }
+
+    /**
+     * An answer without headers and body.
+     *
+     * @param status HTTP status
+     * @return the answer
+     */
+    public static StoredAnswer ofStatus(int status) {
+        return new StoredAnswer(status, Map.of(), ByteString.EMPTY);
+    }
+
+    long bytes() {
+        return body.size()
+                + headers.entrySet().stream()
+                        .mapToLong(header -> header.getKey().length() + header.getValue().length())
+                        .sum();
+    }
+}
