--- /dev/null
+++ b/src/main/java/org/azureshed/idempotency/KeyRecord.java
@@ -0,0 +1,36 @@
+package org.azureshed.idempotency;
+
+import java.util.Optional;
+
+/**
+ * What an owner knows of one key.
+ *
+ * @param fingerprint content of the granted request
+ * @param claim the granted claim
+ * @param permitEndMillis owner's monotonic clock after which the work cannot start any more
+ * @param unknownFromMillis owner's monotonic clock from which the outcome counts as unknown
+ * @param answer the answer, or empty while no completion was reported
+ */
+public record KeyRecord(
+        ContentFingerprint fingerprint,
+        ClaimId claim,
+        long permitEndMillis,
+        long unknownFromMillis,
+        Optional<StoredAnswer> answer) {
+    boolean inProgress(long nowMillis) {
+        return answer.isEmpty() && nowMillis < unknownFromMillis;
+    }
+
+    KeyRecord completed(StoredAnswer newAnswer) {
+        return new KeyRecord(
+                fingerprint, claim, permitEndMillis, unknownFromMillis, Optional.of(newAnswer));
+    }
+
+    KeyRecord unknownFrom(long millis) {
+        return new KeyRecord(fingerprint, claim, permitEndMillis, millis, answer);
+    }
+
+    long answerBytes() {
+        return answer.map(StoredAnswer::bytes).orElse(0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/idempotency/OwnerEvent.java
@@ -0,0 +1,158 @@
+package org.azureshed.idempotency;
+
+import java.util.Optional;
+
+/**
+ * Input of {@link OwnerReducer}. Times are of this node's monotonic clock; {@code nowMillis} is
+ * read after the message or answer arrived, {@code sentMillis} before the call was made.
+ */
+public sealed interface OwnerEvent {
+    /**
+     * When the event happened.
+     *
+     * @return this node's monotonic clock in milliseconds
+     */
+    long nowMillis();
+
+    /**
+     * Time passed.
+     *
+     * @param nowMillis when
+     */
+    record Tick(long nowMillis) implements OwnerEvent {}
+
+    /**
+     * The reachable nodes changed.
+     *
+     * @param placement placement over the reachable nodes
+     * @param nowMillis when
+     */
+    record ViewChanged(RangePlacement placement, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * A read of a lease was answered.
+     *
+     * @param range the range
+     * @param lease content, or empty if the object does not exist
+     * @param version version of the object; 0 if it does not exist
+     * @param sentMillis before the call
+     * @param nowMillis after the answer
+     * @param serverMillis platform time in the answer; 0 if it has none
+     */
+    record LeaseRead(
+            KeyRange range,
+            Optional<KeyRangeLease> lease,
+            long version,
+            long sentMillis,
+            long nowMillis,
+            long serverMillis)
+            implements OwnerEvent {}
+
+    /**
+     * A call did not reach the platform.
+     *
+     * @param range the range
+     * @param nowMillis when
+     */
+    record ReadFailed(KeyRange range, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * A write took effect.
+     *
+     * @param lease what was written
+     * @param version new version
+     * @param sentMillis before the call
+     * @param nowMillis after the answer
+     * @param serverMillis platform time in the answer
+     */
+    record WriteAccepted(
+            KeyRangeLease lease, long version, long sentMillis, long nowMillis, long serverMillis)
+            implements OwnerEvent {}
+
+    /**
+     * A write certainly took no effect, because the object has another version or because the call
+     * was refused.
+     *
+     * @param lease what was to be written
+     * @param conflict whether the object has another version
+     * @param nowMillis when
+     */
+    record WriteRefused(KeyRangeLease lease, boolean conflict, long nowMillis)
+            implements OwnerEvent {}
+
+    /**
+     * The answer to a write was lost. The write took effect, or will, or never will.
+     *
+     * @param lease what was to be written
+     * @param nowMillis when
+     */
+    record WriteUnanswered(KeyRangeLease lease, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * An entry side claims a key.
+     *
+     * @param claim the claim
+     * @param nowMillis when
+     */
+    record ClaimReceived(Claim claim, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * An entry side reports an outcome.
+     *
+     * @param report the report
+     * @param nowMillis when
+     */
+    record OutcomeReported(OutcomeReport report, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * A holder says that it named this node as successor.
+     *
+     * @param range the range
+     * @param nowMillis when
+     */
+    record NamedAsSuccessor(KeyRange range, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * A holder that cannot renew asks for consent.
+     *
+     * @param lease the holder's lease
+     * @param askedMillis the holder's clock before it asked, to be returned
+     * @param nowMillis when
+     */
+    record ConsentAsked(KeyRangeLease lease, long askedMillis, long nowMillis)
+            implements OwnerEvent {}
+
+    /**
+     * A successor answered a request for consent.
+     *
+     * @param range the range
+     * @param epoch epoch of the lease in the request
+     * @param successor who answered
+     * @param granted whether it consented
+     * @param askedMillis this node's clock before it asked
+     * @param nowMillis when
+     */
+    record ConsentAnswered(
+            KeyRange range,
+            long epoch,
+            NodeInstance successor,
+            boolean granted,
+            long askedMillis,
+            long nowMillis)
+            implements OwnerEvent {}
+
+    /**
+     * A stopping owner handed its records over.
+     *
+     * @param handOver the records
+     * @param nowMillis when
+     */
+    record HandOverReceived(HandOver handOver, long nowMillis) implements OwnerEvent {}
+
+    /**
+     * The process is about to stop.
+     *
+     * @param nowMillis when
+     */
+    record StopRequested(long nowMillis) implements OwnerEvent {}
+}
