Let successors consent only to a holder that they have read

Cause: the control message for consent names range, holder and epoch, not the whole lease. Change: a successor consents if its own last read shows that this holder and epoch named its instance. Conclusion: a restarted successor refuses until it has read the platform.

--- a/src/main/java/org/azureshed/idempotency/ConsentSteps.java
+++ b/src/main/java/org/azureshed/idempotency/ConsentSteps.java
@@ -37,14 +37,13 @@
     }
 
     OwnerState asked(OwnerState state, OwnerEvent.ConsentAsked asked, List<OwnerEffect> out) {
-        KeyRangeLease lease = asked.lease();
-        RangeState range = state.range(lease.range());
-        boolean granted = rules.mayConsent(state, range, lease);
+        RangeState range = state.range(asked.range());
+        boolean granted = rules.mayConsent(state, range, asked);
         out.add(
                 new OwnerEffect.AnswerConsent(
-                        lease.holder(),
-                        lease.range(),
-                        lease.epoch(),
+                        asked.holder(),
+                        asked.range(),
+                        asked.epoch(),
                         granted,
                         asked.askedMillis()));
         return granted ? state.with(range.withPromise(rules.promiseEnd(state.nowMillis()))) : state;
--- a/src/main/java/org/azureshed/idempotency/OwnerEvent.java
+++ b/src/main/java/org/azureshed/idempotency/OwnerEvent.java
@@ -115,11 +115,14 @@
     /**
      * A holder that cannot renew asks for consent.
      *
-     * @param lease the holder's lease
-     * @param askedMillis the holder's clock before it asked, to be returned
+     * @param range the range
+     * @param holder the holder
+     * @param epoch epoch of its lease
+     * @param askedMillis token to be returned, for example the holder's clock before it asked
      * @param nowMillis when
      */
-    record ConsentAsked(KeyRangeLease lease, long askedMillis, long nowMillis)
+    record ConsentAsked(
+            KeyRange range, NodeInstance holder, long epoch, long askedMillis, long nowMillis)
             implements OwnerEvent {}
 
     /**
--- a/src/main/java/org/azureshed/idempotency/OwnerRules.java
+++ b/src/main/java/org/azureshed/idempotency/OwnerRules.java
@@ -83,15 +83,19 @@
     }
 
     /**
-     * Whether this node may consent. It may not while a write of its own could still replace the
-     * holder.
+     * Whether this node may consent. It must have read that the asking holder named this very
+     * instance, and it may not have a write of its own that could still replace the holder.
      */
-    boolean mayConsent(OwnerState state, RangeState range, KeyRangeLease lease) {
-        boolean newest = range.lease().filter(known -> known.epoch() > lease.epoch()).isEmpty();
+    boolean mayConsent(OwnerState state, RangeState range, OwnerEvent.ConsentAsked asked) {
+        boolean named =
+                range.lease()
+                        .filter(known -> known.epoch() == asked.epoch())
+                        .filter(known -> known.holder().equals(asked.holder()))
+                        .filter(known -> known.successors().contains(state.self()))
+                        .isPresent();
         return !state.platformReachable()
                 && !state.stopping()
-                && newest
-                && lease.successors().contains(state.self())
+                && named
                 && range.writes().isEmpty()
                 && range.holding().isEmpty()
                 && range.handOver().isEmpty();
--- a/src/test/java/org/azureshed/idempotency/KeyProtocolMutationTest.java
+++ b/src/test/java/org/azureshed/idempotency/KeyProtocolMutationTest.java
@@ -52,12 +52,12 @@
         }
 
         @Override
-        boolean mayConsent(OwnerState state, RangeState range, KeyRangeLease lease) {
+        boolean mayConsent(OwnerState state, RangeState range, OwnerEvent.ConsentAsked asked) {
             RangeState without =
                     off.equals("no consent with a write in flight")
                             ? range.withWrites(io.vavr.collection.List.empty())
                             : range;
-            return super.mayConsent(state, without, lease);
+            return super.mayConsent(state, without, asked);
         }
 
         @Override
--- a/src/test/java/org/azureshed/idempotency/KeyProtocolNodes.java
+++ b/src/test/java/org/azureshed/idempotency/KeyProtocolNodes.java
@@ -95,7 +95,8 @@
     static OwnerEvent restamped(OwnerEvent event, long now) {
         return switch (event) {
             case OwnerEvent.ConsentAsked asked ->
-                    new OwnerEvent.ConsentAsked(asked.lease(), asked.askedMillis(), now);
+                    new OwnerEvent.ConsentAsked(
+                            asked.range(), asked.holder(), asked.epoch(), asked.askedMillis(), now);
             case OwnerEvent.ConsentAnswered a ->
                     new OwnerEvent.ConsentAnswered(
                             a.range(), a.epoch(), a.successor(), a.granted(), a.askedMillis(), now);
@@ -211,7 +212,11 @@
                                     reply));
             case OwnerEffect.NotifySuccessor notify -> state;
             case OwnerEffect.AskConsent(var to, KeyRangeLease lease, long asked) ->
-                    toNode(state, to, new OwnerEvent.ConsentAsked(lease, asked, 0));
+                    toNode(
+                            state,
+                            to,
+                            new OwnerEvent.ConsentAsked(
+                                    lease.range(), lease.holder(), lease.epoch(), asked, 0));
             case OwnerEffect.AnswerConsent a ->
                     toNode(
                             state,
