Run keyed requests under a permit at entry and host side

Cause: Idempotency-Key was passed on without effect. Change: KeyedRequests claims the key, the dispatcher converts the permit to the host's clock, the host side refuses past it and gives the target a deadline; a small answer is recorded and replayed. Before: two sends ran twice. Conclusion: keyed work of unknown outcome is not retried.

--- a/src/main/java/org/azureshed/proxy/AnswerWriter.java
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -65,23 +66,32 @@
      * @param entity the body, or null
      * @param to the answer to send
      * @param inFlight the request that the body answers
+     * @param recorder also gets the body, if present
      * @throws IOException if either connection fails
      */
-    static void copyBody(HttpEntity entity, HttpServletResponse to, InFlight inFlight)
+    static void copyBody(
+            HttpEntity entity,
+            HttpServletResponse to,
+            InFlight inFlight,
+            Optional<AnswerRecorder> recorder)
             throws IOException {
         if (entity == null) {
             return;
         }
         try {
             to.flushBuffer();
-            copy(entity.getContent(), to.getOutputStream(), inFlight);
+            copy(entity.getContent(), to.getOutputStream(), inFlight, recorder);
         } catch (IOException e) {
             inFlight.cancel(UnknownCause.CALLER_GONE);
             throw e;
         }
     }
 
-    private static void copy(InputStream input, OutputStream output, InFlight inFlight)
+    private static void copy(
+            InputStream input,
+            OutputStream output,
+            InFlight inFlight,
+            Optional<AnswerRecorder> recorder)
             throws IOException {
         byte[] buffer = new byte[COPY_BUFFER_BYTES];
         int count;
@@ -89,6 +99,9 @@
             output.write(buffer, 0, count);
             output.flush();
             inFlight.progressed();
+            if (recorder.isPresent()) {
+                recorder.get().body(buffer, count);
+            }
         }
     }
 
--- a/src/main/java/org/azureshed/proxy/Call.java
+++ b/src/main/java/org/azureshed/proxy/Call.java
@@ -3,7 +3,9 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import java.time.Duration;
+import java.util.Optional;
 import org.azureshed.control.Snapshot;
+import org.azureshed.idempotency.Permit;
 import org.azureshed.model.RequestClass;
 import org.azureshed.model.Route;
 
@@ -18,6 +20,8 @@
  * @param organisation organisation that sent it; empty if the caller named none
  * @param body its body
  * @param startNanos when it arrived
+ * @param permit right to start the work of a keyed request; empty for others
+ * @param recorder keeps the answer of a keyed request; empty for others
  */
 record Call(
         HttpServletRequest request,
@@ -27,7 +31,23 @@
         RequestClass requestClass,
         String organisation,
         RequestBody body,
-        long startNanos) {
+        long startNanos,
+        Optional<Permit> permit,
+        Optional<AnswerRecorder> recorder) {
+    Call withPermit(Permit newPermit, AnswerRecorder newRecorder) {
+        return new Call(
+                request,
+                response,
+                snapshot,
+                route,
+                requestClass,
+                organisation,
+                body,
+                startNanos,
+                Optional.of(newPermit),
+                Optional.of(newRecorder));
+    }
+
     Duration timeLeft() {
         long elapsed = System.nanoTime() - startNanos;
         return Duration.ofMillis(requestClass.deadlineMillis()).minusNanos(elapsed);
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.azureshed.proxy;
 
+import io.vavr.control.Either;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import jakarta.servlet.http.HttpServletResponse;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
+import org.azureshed.idempotency.PermitClock.StartBy;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.Outcome;
 import org.azureshed.model.RefusalReason;
@@ -30,6 +32,8 @@
     private static final int MAX_ATTEMPTS = 3;
 
     private final TargetChooser chooser;
+    private final HostClocks clocks;
+    private final HostPermits permits;
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
     private final ForwardClient client;
@@ -37,13 +41,19 @@
 
     @Inject
     Dispatcher(
-            TargetChooser chooser, FleetMetrics metrics, ExchangeMonitor monitor, NodeInfo self) {
+            TargetChooser chooser,
+            HostClocks clocks,
+            FleetMetrics metrics,
+            ExchangeMonitor monitor,
+            NodeInfo self) {
+        this.clocks = clocks;
         this.chooser = chooser;
         this.metrics = metrics;
         this.monitor = monitor;
         this.client =
                 new ForwardClient(
                         RefusalReason.NODE_UNREACHABLE, UnknownCause.NODE_CONNECTION_LOST);
+        this.permits = new HostPermits(client, clocks, monitor);
         this.exchangeIds = new ExchangeIds(self);
     }
 
@@ -95,6 +105,7 @@
             case Outcome.Unknown(UnknownCause cause) ->
                     cause != UnknownCause.CALLER_GONE
                             && call.requestClass().idempotent()
+                            && call.permit().isEmpty()
                             && call.body().replayable();
         };
     }
@@ -103,6 +114,15 @@
         Candidate candidate = pick.candidate();
         String exchange = exchangeIds.next();
         CancellableRequest request = request(call, candidate, exchange, attempt);
+        if (call.permit().isPresent()) {
+            Either<RefusalReason, StartBy> startBy =
+                    permits.startBy(call.permit().get(), candidate.node());
+            if (startBy.isLeft()) {
+                pick.finish();
+                return new Outcome.NotRun(startBy.getLeft());
+            }
+            request.setHeader(InternalHeaders.START_BY, StartByHeader.encode(startBy.get()));
+        }
         long sent = System.nanoTime();
         try (InFlight inFlight = monitor.watch(request, call.request())) {
             ForwardResult result =
@@ -116,7 +136,7 @@
             return switch (result) {
                 case ForwardResult.Answer(ClassicHttpResponse answer) -> {
                     LoadHeader.parse(value(answer, InternalHeaders.LOAD))
-                            .ifPresent(load -> chooser.answered(pick, load, sent));
+                            .ifPresent(load -> record(pick, load, sent));
                     yield relay(call, exchange, answer, inFlight);
                 }
                 case ForwardResult.Failed(Outcome outcome, String detail) -> {
@@ -132,6 +152,11 @@
         }
     }
 
+    private void record(Pick pick, LoadHeader load, long sent) {
+        chooser.answered(pick, load, sent);
+        clocks.arrived(pick.candidate().node().id(), load);
+    }
+
     /** A caller that went away or sent no complete body says nothing about the path. */
     private static boolean blamesPath(Outcome outcome) {
         return !(outcome instanceof Outcome.Unknown(UnknownCause cause))
@@ -176,7 +201,8 @@
             }
             HttpServletResponse response = call.response();
             AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
-            AnswerWriter.copyBody(answer.getEntity(), response, inFlight);
+            call.recorder().ifPresent(recorder -> recorder.head(answer));
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight, call.recorder());
             return new Outcome.Completed(answer.getCode());
         }
     }
--- a/src/main/java/org/azureshed/proxy/EntryHandler.java
+++ b/src/main/java/org/azureshed/proxy/EntryHandler.java
@@ -27,6 +27,7 @@
 
     private final ControlLoop control;
     private final Dispatcher dispatcher;
+    private final KeyedRequests keyed;
     private final ActiveRequests active;
     private final FleetMetrics metrics;
     private final OrganisationLimiter organisations = new OrganisationLimiter();
@@ -36,8 +37,10 @@
     EntryHandler(
             ControlLoop control,
             Dispatcher dispatcher,
+            KeyedRequests keyed,
             ActiveRequests active,
             FleetMetrics metrics) {
+        this.keyed = keyed;
         this.active = active;
         this.control = control;
         this.dispatcher = dispatcher;
@@ -117,8 +120,12 @@
                         preset.classes().get(route.requestClass()),
                         organisation,
                         body,
-                        start);
-        answer(call, dispatcher.dispatch(call));
+                        start,
+                        Optional.empty(),
+                        Optional.empty());
+        Outcome outcome =
+                KeyedRequests.isKeyed(request) ? keyed.dispatch(call) : dispatcher.dispatch(call);
+        answer(call, outcome);
     }
 
     private void answer(Call call, Outcome outcome) throws IOException {
--- a/src/main/java/org/azureshed/proxy/ExchangeMonitor.java
+++ b/src/main/java/org/azureshed/proxy/ExchangeMonitor.java
@@ -3,6 +3,7 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import jakarta.servlet.http.HttpServletRequest;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -44,7 +45,21 @@
      * @return a handle that has to be closed when the answer is complete
      */
     InFlight watch(CancellableRequest request, HttpServletRequest from) {
-        InFlight entry = new InFlight(this, request, from, System.nanoTime());
+        return watch(request, Optional.of(InFlight.TcpPorts.of(from)));
+    }
+
+    /**
+     * Starts to watch a request that the node makes for itself.
+     *
+     * @param request the request to cancel if it stalls
+     * @return a handle that has to be closed when the answer is complete
+     */
+    InFlight watchOwn(CancellableRequest request) {
+        return watch(request, Optional.empty());
+    }
+
+    private InFlight watch(CancellableRequest request, Optional<InFlight.TcpPorts> caller) {
+        InFlight entry = new InFlight(this, request, caller, System.nanoTime());
         inFlight.add(entry);
         return entry;
     }
@@ -82,7 +97,8 @@
     /** Younger requests are left out, since their connection may be newer than the table. */
     private void cancelClosed(Set<InFlight.TcpPorts> open, long now) {
         for (InFlight entry : inFlight) {
-            if (now - entry.startNanos() > CALLER_CHECK_NANOS && !open.contains(entry.caller())) {
+            boolean callerGone = entry.caller().isPresent() && !open.contains(entry.caller().get());
+            if (callerGone && now - entry.startNanos() > CALLER_CHECK_NANOS) {
                 entry.cancel(UnknownCause.CALLER_GONE);
             }
         }
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -1,5 +1,6 @@
 package org.azureshed.proxy;
 
+import io.vavr.control.Either;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import jakarta.servlet.http.HttpServletRequest;
@@ -20,6 +21,9 @@
 import org.azureshed.admission.TicketResult;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
+import org.azureshed.idempotency.KeyTiming;
+import org.azureshed.idempotency.PermitClock;
+import org.azureshed.idempotency.PermitClock.StartBy;
 import org.azureshed.model.Outcome;
 import org.azureshed.model.RefusalReason;
 import org.azureshed.model.RequestClass;
@@ -46,6 +50,7 @@
     private final ExchangeMonitor monitor;
     private final HostClock clock;
     private final ForwardClient client;
+    private final PermitClock permits = new PermitClock(KeyTiming.STANDARD);
 
     @Inject
     HostHandler(
@@ -83,6 +88,11 @@
 
     void handle(HttpServletRequest request, HttpServletResponse response) throws IOException {
         long start = System.nanoTime();
+        if (request.getHeader(InternalHeaders.CLOCK) != null) {
+            StartBy now = new StartBy(Long.toString(clock.bootId()), clock.millis());
+            response.setHeader(InternalHeaders.CLOCK, StartByHeader.encode(now));
+            return;
+        }
         String exchange = request.getHeader(InternalHeaders.EXCHANGE);
         String targetId = request.getHeader(InternalHeaders.TARGET);
         long deadlineMillis = longHeader(request, InternalHeaders.DEADLINE_MS);
@@ -156,6 +166,16 @@
         CancellableRequest forwarded =
                 Requests.copy(call.request(), name -> !name.equals(InternalHeaders.START_BY));
         forwarded.setHeader(InternalHeaders.DEADLINE_MS, call.timeLeft().toMillis());
+        String startBy = call.request().getHeader(InternalHeaders.START_BY);
+        if (startBy != null) {
+            Either<RefusalReason, Long> deadline = targetDeadline(startBy);
+            if (deadline.isLeft()) {
+                addLoad(call);
+                refuse(call.response(), deadline.getLeft(), 0);
+                return TicketResult.NOT_RUN;
+            }
+            forwarded.setHeader(InternalHeaders.START_BY_EPOCH_MS, deadline.get());
+        }
         try (InFlight inFlight = monitor.watch(forwarded, call.request())) {
             ForwardResult result =
                     client.send(
@@ -173,6 +193,19 @@
         }
     }
 
+    /** Checks a keyed request as late as possible and sets the deadline for the target's check. */
+    private Either<RefusalReason, Long> targetDeadline(String header) {
+        // The VM's clock is read first, so that a pause between the reads makes the rest shorter.
+        long epochMillis = System.currentTimeMillis();
+        long now = clock.millis();
+        return StartByHeader.parse(header)
+                .map(
+                        startBy ->
+                                permits.targetDeadline(
+                                        startBy, Long.toString(clock.bootId()), epochMillis, now))
+                .orElse(Either.left(RefusalReason.BAD_HEADER));
+    }
+
     private TicketResult relay(Call call, ClassicHttpResponse answer, InFlight inFlight)
             throws IOException {
         try (answer) {
@@ -189,7 +222,7 @@
             AnswerWriter.copyHead(answer, response, name -> !InternalHeaders.isInternal(name));
             response.setHeader(InternalHeaders.OUTCOME, "completed");
             addLoad(call);
-            AnswerWriter.copyBody(answer.getEntity(), response, inFlight);
+            AnswerWriter.copyBody(answer.getEntity(), response, inFlight, Optional.empty());
             metrics.completed(Side.HOST, answer.getCode());
             return answer.getCode() < FIRST_SERVER_ERROR
                     ? TicketResult.SUCCEEDED
--- a/src/main/java/org/azureshed/proxy/InFlight.java
+++ b/src/main/java/org/azureshed/proxy/InFlight.java
@@ -8,7 +8,7 @@
 final class InFlight implements AutoCloseable {
     private final ExchangeMonitor monitor;
     private final CancellableRequest request;
-    private final TcpPorts caller;
+    private final Optional<TcpPorts> caller;
     private final long startNanos;
     private volatile long progressNanos;
     private volatile UnknownCause cancelCause;
@@ -19,21 +19,26 @@
      * @param local port of the listener
      * @param remote port of the peer
      */
-    record TcpPorts(int local, int remote) {}
+    record TcpPorts(int local, int remote) {
+        static TcpPorts of(HttpServletRequest request) {
+            return new TcpPorts(request.getLocalPort(), request.getRemotePort());
+        }
+    }
 
     InFlight(
             ExchangeMonitor monitor,
             CancellableRequest request,
-            HttpServletRequest from,
+            Optional<TcpPorts> caller,
             long nowNanos) {
         this.monitor = monitor;
         this.request = request;
-        this.caller = new TcpPorts(from.getLocalPort(), from.getRemotePort());
+        this.caller = caller;
         this.startNanos = nowNanos;
         this.progressNanos = nowNanos;
     }
 
-    TcpPorts caller() {
+    /** Connection of the caller; empty if the node itself is the caller. */
+    Optional<TcpPorts> caller() {
         return caller;
     }
 
--- a/src/main/java/org/azureshed/proxy/InternalHeaders.java
+++ b/src/main/java/org/azureshed/proxy/InternalHeaders.java
@@ -38,6 +38,9 @@
     /** Latest start of a keyed request on the VM's clock, milliseconds since the epoch. */
     public static final String START_BY_EPOCH_MS = PREFIX + "Start-By-Epoch-Ms";
 
+    /** Asks a host side for its clock; the answer carries it in the header of the same name. */
+    public static final String CLOCK = PREFIX + "Clock";
+
     /** Fingerprint of the request's content. */
     public static final String FINGERPRINT = PREFIX + "Fingerprint";
 
--- a/src/main/java/org/azureshed/proxy/RequestBody.java
+++ b/src/main/java/org/azureshed/proxy/RequestBody.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** The body of a request without one. */
+    static RequestBody empty() {
+        return new RequestBody(new byte[0], null, 0, 0);
+    }
+
     /** Whether the whole body can be sent from its start. */
     boolean replayable() {
         return !restRead;
