Connect key ranges to the platform and the control connections

Cause: the proxy needs claims over the fleet, not only the decision code. Ticks come from the shell, because the control loop only ticks when its queue is empty. Successors learn that they are named from a listing about once a minute. Before: pure code. Conclusion: the hand-over of records is not connected, because the control messages lack fields for it; the node module does not start the shell yet.

--- a/src/main/java/org/azureshed/control/ControlEvent.java
+++ b/src/main/java/org/azureshed/control/ControlEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.azureshed.distribution.DistributionEvent;
+import org.azureshed.idempotency.OwnerEvent;
 import org.azureshed.membership.MembershipEvent;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
@@ -78,6 +79,13 @@
      */
     record Distribution(DistributionEvent event) implements ControlEvent {}
 
+    /**
+     * Input of the reducer of key ranges.
+     *
+     * @param event the event
+     */
+    record Keys(OwnerEvent event) implements ControlEvent {}
+
     /** The process was asked to stop. */
     record StopRequested() implements ControlEvent {}
 }
--- a/src/main/java/org/azureshed/control/ControlReducer.java
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -14,6 +14,7 @@
  */
 public final class ControlReducer {
     private final FleetReducer fleet;
+    private final KeyFollower keys = new KeyFollower();
 
     /** Creates a reducer without seeds; nodes learn of each other from the platform first. */
     public ControlReducer() {
@@ -37,7 +38,7 @@
      * @return the state after it and what has to be carried out
      */
     public Step<ControlState, Effect> reduce(ControlState state, ControlEvent event) {
-        return fleet.follow(state, event, reduceOwn(state, event));
+        return keys.follow(event, fleet.follow(state, event, reduceOwn(state, event)));
     }
 
     private static Step<ControlState, Effect> reduceOwn(ControlState state, ControlEvent event) {
@@ -53,6 +54,7 @@
             case ControlEvent.StopRequested() -> stop(state);
             case ControlEvent.Membership ignored -> Step.of(state);
             case ControlEvent.Distribution ignored -> Step.of(state);
+            case ControlEvent.Keys ignored -> Step.of(state);
         };
     }
 
--- a/src/main/java/org/azureshed/control/Effect.java
+++ b/src/main/java/org/azureshed/control/Effect.java
@@ -1,6 +1,7 @@
 package org.azureshed.control;
 
 import org.azureshed.distribution.DistributionEffect;
+import org.azureshed.idempotency.OwnerEffect;
 import org.azureshed.membership.MembershipEffect;
 import org.azureshed.model.NodeInfo;
 
@@ -40,4 +41,11 @@
      * @param effect the effect
      */
     record Distribution(DistributionEffect effect) implements Effect {}
+
+    /**
+     * Carries out an effect of the reducer of key ranges.
+     *
+     * @param effect the effect
+     */
+    record Keys(OwnerEffect effect) implements Effect {}
 }
--- a/src/main/java/org/azureshed/idempotency/OwnerState.java
+++ b/src/main/java/org/azureshed/idempotency/OwnerState.java
@@ -26,6 +26,9 @@
         long nextWrite,
         long nowMillis,
         boolean stopping) {
+    /** The origin of a monotonic clock is arbitrary, so its values can be negative. */
+    private static final long BEFORE_ALL_EVENTS = Long.MIN_VALUE / 2;
+
     /**
      * State of a process that has just started.
      *
@@ -40,7 +43,7 @@
                 Optional.empty(),
                 HashMap.empty(),
                 1,
-                0,
+                BEFORE_ALL_EVENTS,
                 false);
     }
 
--- /dev/null
+++ b/src/main/java/org/azureshed/idempotency/internal/KeyShell.java
@@ -0,0 +1,418 @@
+package org.azureshed.idempotency.internal;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.azureshed.generated.ClaimOutcomeReply;
+import org.azureshed.generated.ControlMessage;
+import org.azureshed.generated.LeaseConsentReply;
+import org.azureshed.generated.LeaseConsentRequest;
+import org.azureshed.idempotency.Claim;
+import org.azureshed.idempotency.ClaimId;
+import org.azureshed.idempotency.ClaimReply;
+import org.azureshed.idempotency.KeyRange;
+import org.azureshed.idempotency.KeyRangeLease;
+import org.azureshed.idempotency.NodeInstance;
+import org.azureshed.idempotency.OutcomeReport;
+import org.azureshed.idempotency.OwnerEffect;
+import org.azureshed.idempotency.OwnerEvent;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
+import org.azureshed.platform.ObjectStore;
+import org.azureshed.platform.StoreError;
+import org.azureshed.platform.StoredObject;
+import org.azureshed.telemetry.EventLog;
+import org.azureshed.transport.ControlHandler;
+import org.azureshed.transport.ControlTransport;
+import org.azureshed.transport.TransportError;
+
+/**
+ * Carries out the effects of the reducer of key ranges and submits its events.
+ *
+ * <p>Not connected: the hand-over of records, for which the control messages lack fields. A planned
+ * stop therefore costs the same gap as the owner's death.
+ */
+public final class KeyShell implements AutoCloseable {
+    private static final long TICK_MILLIS = 200;
+
+    /**
+     * All leases are listed once a minute, at a random moment: 40 reads a second for 2,400 nodes.
+     */
+    private static final long LIST_MILLIS = 60_000;
+
+    private static final Duration CONSENT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(1);
+    private static final long READ_INTERVAL_MILLIS = 1_000;
+
+    /** Claims whose answer the reducer owes; it answers each at once. */
+    private static final int MAX_OPEN_CLAIMS = 10_000;
+
+    private final NodeInstance self;
+    private final ObjectStore store;
+    private final ControlTransport transport;
+    private final Function<NodeId, Optional<Endpoint>> addresses;
+    private final Consumer<OwnerEvent> events;
+    private final Map<ClaimId, Consumer<ClaimReply>> claims = new ConcurrentHashMap<>();
+    private final Map<Long, ControlHandler.Replier> consents = new ConcurrentHashMap<>();
+    private final Map<KeyRange, KeyRangeLease> leases = new ConcurrentHashMap<>();
+    private final Map<KeyRange, Long> readMillis = new ConcurrentHashMap<>();
+    private final AtomicLong lastToken = new AtomicLong();
+    private volatile Thread ticks;
+
+    /**
+     * Creates a shell that is not running yet.
+     *
+     * @param self this process
+     * @param store the platform
+     * @param transport connections to other nodes
+     * @param addresses control addresses of nodes
+     * @param events takes events for the reducer
+     */
+    public KeyShell(
+            NodeInstance self,
+            ObjectStore store,
+            ControlTransport transport,
+            Function<NodeId, Optional<Endpoint>> addresses,
+            Consumer<OwnerEvent> events) {
+        this.self = self;
+        this.store = store;
+        this.transport = transport;
+        this.addresses = addresses;
+        this.events = events;
+    }
+
+    /** Starts the ticks and the listing of leases. */
+    public void start() {
+        ticks = Thread.ofVirtual().name("key-range-ticks").start(this::run);
+    }
+
+    /** Stops the ticks. */
+    @Override
+    public void close() {
+        Thread running = ticks;
+        if (running != null) {
+            running.interrupt();
+        }
+    }
+
+    /**
+     * Carries out an effect. Does not block.
+     *
+     * @param effect the effect
+     */
+    public void carryOut(OwnerEffect effect) {
+        switch (effect) {
+            case OwnerEffect.ReadLease(KeyRange range) ->
+                    Thread.ofVirtual().start(() -> read(range));
+            case OwnerEffect.WriteLease write -> Thread.ofVirtual().start(() -> write(write));
+            case OwnerEffect.AnswerClaim(ClaimId id, ClaimReply reply) ->
+                    Optional.ofNullable(claims.remove(id)).ifPresent(to -> to.accept(reply));
+            case OwnerEffect.AskConsent ask -> askConsent(ask);
+            case OwnerEffect.AnswerConsent answer -> answerConsent(answer);
+            case OwnerEffect.NotifySuccessor ignored -> {
+                // Successors find their names in the listing; there is no control message for it.
+            }
+            case OwnerEffect.SendHandOver(NodeInstance to, var handOver) ->
+                    EventLog.warning("key_hand_over_not_sent")
+                            .with("range", handOver.lease().range().number())
+                            .with("successor", to.node())
+                            .write();
+        }
+    }
+
+    /**
+     * Takes a message of another node. Does not block.
+     *
+     * @param message the message
+     * @param replier takes the reply
+     */
+    public void received(ControlMessage message, ControlHandler.Replier replier) {
+        try {
+            switch (message.getBodyCase()) {
+                case CLAIM ->
+                        claim(
+                                KeyMessages.decode(message.getClaim()),
+                                reply ->
+                                        replier.reply(
+                                                ControlMessage.newBuilder()
+                                                        .setClaimReply(KeyMessages.encode(reply))
+                                                        .build()));
+                case CLAIM_OUTCOME -> {
+                    events.accept(
+                            new OwnerEvent.OutcomeReported(
+                                    KeyMessages.decode(message.getClaimOutcome()), now()));
+                    replier.reply(
+                            ControlMessage.newBuilder()
+                                    .setClaimOutcomeReply(
+                                            ClaimOutcomeReply.newBuilder().setRecorded(true))
+                                    .build());
+                }
+                case LEASE_CONSENT_REQUEST ->
+                        consentRequested(message.getLeaseConsentRequest(), replier);
+                default ->
+                        EventLog.warning("control_message_unexpected")
+                                .with("body", message.getBodyCase())
+                                .write();
+            }
+        } catch (IllegalArgumentException e) {
+            EventLog.warning("key_message_malformed").with("error", e.getMessage()).write();
+        }
+    }
+
+    /**
+     * Sends a claim to an owner, which can be this node.
+     *
+     * @param owner the owner
+     * @param claim the claim
+     * @return the reply, or why there is none
+     */
+    public CompletionStage<Either<TransportError, ClaimReply>> claimAt(
+            NodeInstance owner, Claim claim) {
+        if (owner.node().equals(self.node())) {
+            CompletableFuture<Either<TransportError, ClaimReply>> own = new CompletableFuture<>();
+            claim(claim, reply -> own.complete(Either.right(reply)));
+            return own.completeOnTimeout(
+                    Either.left(new TransportError.Closed()),
+                    CLAIM_TIMEOUT.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+        Optional<Endpoint> peer = addresses.apply(owner.node());
+        if (peer.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    Either.right(new ClaimReply.NotOwner(Optional.empty())));
+        }
+        ControlMessage request =
+                ControlMessage.newBuilder().setClaim(KeyMessages.encode(claim)).build();
+        return transport
+                .request(peer.get(), request, CLAIM_TIMEOUT)
+                .thenApply(
+                        result -> result.map(reply -> KeyMessages.decode(reply.getClaimReply())));
+    }
+
+    /**
+     * Sends a report to an owner, which can be this node, and repeats it once if it fails.
+     *
+     * @param owner the owner
+     * @param report the report
+     */
+    public void report(NodeInstance owner, OutcomeReport report) {
+        if (owner.node().equals(self.node())) {
+            events.accept(new OwnerEvent.OutcomeReported(report, now()));
+            return;
+        }
+        ControlMessage message =
+                ControlMessage.newBuilder().setClaimOutcome(KeyMessages.encode(report)).build();
+        addresses
+                .apply(owner.node())
+                .ifPresent(
+                        peer ->
+                                transport
+                                        .request(peer, message, CLAIM_TIMEOUT)
+                                        .thenAccept(
+                                                result ->
+                                                        result.peekLeft(
+                                                                error ->
+                                                                        transport.request(
+                                                                                peer,
+                                                                                message,
+                                                                                CLAIM_TIMEOUT))));
+    }
+
+    /**
+     * The lease of a range as this node knows it. Blocks if it has to read the platform, which it
+     * does at most once a second for each range.
+     *
+     * @param range the range
+     * @param outdated whether the known lease led to a node that is not the owner
+     * @return the lease, or empty if it is unknown
+     */
+    public Optional<KeyRangeLease> lease(KeyRange range, boolean outdated) {
+        KeyRangeLease known = leases.get(range);
+        long now = now();
+        Long readBefore = readMillis.get(range);
+        boolean readLately = readBefore != null && now - readBefore < READ_INTERVAL_MILLIS;
+        if (readLately || (known != null && !outdated)) {
+            return Optional.ofNullable(known);
+        }
+        readMillis.put(range, now);
+        return read(range);
+    }
+
+    private void claim(Claim claim, Consumer<ClaimReply> reply) {
+        if (claims.size() >= MAX_OPEN_CLAIMS) {
+            reply.accept(new ClaimReply.RecordFull());
+            return;
+        }
+        claims.put(claim.id(), reply);
+        events.accept(new OwnerEvent.ClaimReceived(claim, now()));
+    }
+
+    private Optional<KeyRangeLease> read(KeyRange range) {
+        long sent = now();
+        Either<StoreError, StoredObject> found = store.get(range.objectKey());
+        if (found.isLeft()) {
+            events.accept(
+                    found.getLeft() instanceof StoreError.NotFound
+                            ? new OwnerEvent.LeaseRead(range, Optional.empty(), 0, sent, now(), 0)
+                            : new OwnerEvent.ReadFailed(range, now()));
+            return Optional.empty();
+        }
+        StoredObject object = found.get();
+        Either<String, KeyRangeLease> lease = KeyRangeLease.parse(object.value());
+        if (lease.isLeft()) {
+            EventLog.warning("key_range_malformed").with("error", lease.getLeft()).write();
+            events.accept(new OwnerEvent.ReadFailed(range, now()));
+            return Optional.empty();
+        }
+        remember(lease.get());
+        events.accept(
+                new OwnerEvent.LeaseRead(
+                        range,
+                        Optional.of(lease.get()),
+                        object.version(),
+                        sent,
+                        now(),
+                        object.serverTimeMillis()));
+        return Optional.of(lease.get());
+    }
+
+    private void write(OwnerEffect.WriteLease write) {
+        KeyRangeLease lease = write.lease();
+        Either<StoreError, StoredObject> written =
+                store.put(lease.range().objectKey(), lease.toJson(), write.expectedVersion());
+        events.accept(
+                written.fold(
+                        error -> failed(lease, error),
+                        object ->
+                                new OwnerEvent.WriteAccepted(
+                                        lease,
+                                        object.version(),
+                                        write.sentMillis(),
+                                        now(),
+                                        object.serverTimeMillis())));
+    }
+
+    private static OwnerEvent failed(KeyRangeLease lease, StoreError error) {
+        return switch (error) {
+            case StoreError.Conflict ignored -> new OwnerEvent.WriteRefused(lease, true, now());
+            case StoreError.Unavailable ignored -> new OwnerEvent.WriteRefused(lease, false, now());
+            case StoreError.RateLimited ignored -> new OwnerEvent.WriteRefused(lease, false, now());
+            default -> new OwnerEvent.WriteUnanswered(lease, now());
+        };
+    }
+
+    private void askConsent(OwnerEffect.AskConsent ask) {
+        KeyRangeLease lease = ask.lease();
+        ControlMessage request =
+                ControlMessage.newBuilder()
+                        .setLeaseConsentRequest(
+                                LeaseConsentRequest.newBuilder()
+                                        .setRange(lease.range().number())
+                                        .setEpoch(lease.epoch())
+                                        .setHolder(lease.holder().node().value())
+                                        .setHolderIncarnation(lease.holder().incarnation()))
+                        .build();
+        addresses
+                .apply(ask.to().node())
+                .ifPresent(
+                        peer ->
+                                transport
+                                        .request(peer, request, CONSENT_TIMEOUT)
+                                        .thenAccept(result -> result.peek(r -> consented(ask, r))));
+    }
+
+    private void consented(OwnerEffect.AskConsent ask, ControlMessage reply) {
+        events.accept(
+                new OwnerEvent.ConsentAnswered(
+                        ask.lease().range(),
+                        reply.getLeaseConsentReply().getEpoch(),
+                        ask.to(),
+                        reply.getLeaseConsentReply().hasConsent(),
+                        ask.askedMillis(),
+                        now()));
+    }
+
+    private void consentRequested(LeaseConsentRequest request, ControlHandler.Replier replier) {
+        long token = lastToken.incrementAndGet();
+        consents.put(token, replier);
+        events.accept(
+                new OwnerEvent.ConsentAsked(
+                        new KeyRange(request.getRange()),
+                        new NodeInstance(
+                                new NodeId(request.getHolder()), request.getHolderIncarnation()),
+                        request.getEpoch(),
+                        token,
+                        now()));
+    }
+
+    private void answerConsent(OwnerEffect.AnswerConsent answer) {
+        ControlHandler.Replier replier = consents.remove(answer.askedMillis());
+        if (replier == null) {
+            return;
+        }
+        LeaseConsentReply.Builder reply =
+                LeaseConsentReply.newBuilder()
+                        .setRange(answer.range().number())
+                        .setEpoch(answer.epoch());
+        if (answer.granted()) {
+            reply.getConsentBuilder();
+        } else {
+            reply.getRefusedBuilder();
+        }
+        replier.reply(ControlMessage.newBuilder().setLeaseConsentReply(reply).build());
+    }
+
+    private void run() {
+        long listDue = now() + ThreadLocalRandom.current().nextLong(TICK_MILLIS);
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                events.accept(new OwnerEvent.Tick(now()));
+                if (now() >= listDue) {
+                    list();
+                    listDue = now() + ThreadLocalRandom.current().nextLong(2 * LIST_MILLIS);
+                }
+                Thread.sleep(TICK_MILLIS);
+            }
+        } catch (InterruptedException ignored) {
+            // The shell was closed.
+        }
+    }
+
+    private void list() {
+        Thread.ofVirtual()
+                .start(
+                        () ->
+                                store.list(KeyRange.OBJECT_KIND)
+                                        .peek(
+                                                listing ->
+                                                        listing.objects().stream()
+                                                                .map(StoredObject::value)
+                                                                .map(KeyRangeLease::parse)
+                                                                .forEach(
+                                                                        l -> l.peek(this::found))));
+    }
+
+    private void found(KeyRangeLease lease) {
+        remember(lease);
+        if (lease.successors().contains(self)) {
+            events.accept(new OwnerEvent.NamedAsSuccessor(lease.range(), now()));
+        }
+    }
+
+    private void remember(KeyRangeLease lease) {
+        leases.merge(lease.range(), lease, (old, read) -> read.epoch() >= old.epoch() ? read : old);
+    }
+
+    static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -57,6 +57,9 @@
             case Effect.Distribution(var distribution) -> {
                 // Carried out by FleetShell once the node starts a control transport.
             }
+            case Effect.Keys(var keys) -> {
+                // Carried out by KeyShell once the node starts a control transport.
+            }
         }
     }
 
