--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -148,6 +148,9 @@
             default -> {
                 // Spread records concern parts that read them from the control state.
             }
+            case Effect.Keys(var keys) -> {
+                // Carried out by KeyShell once the node starts a control transport.
+            }
         }
     }
 
