Connect ejection and poison to the control loop

Cause: the decisions had no events, effects or calls to the platform.

Conclusion: the node does not create the shell yet, and gossip does not carry the records and suspects yet.

--- a/src/main/java/org/azureshed/control/ControlEvent.java
+++ b/src/main/java/org/azureshed/control/ControlEvent.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import org.azureshed.distribution.DistributionEvent;
+import org.azureshed.ejection.EjectionEvent;
 import org.azureshed.membership.MembershipEvent;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
+import org.azureshed.poison.PoisonEvent;
 
 /** Something that happened, as input of the reducer. */
 public sealed interface ControlEvent {
@@ -78,6 +80,20 @@
      */
     record Distribution(DistributionEvent event) implements ControlEvent {}
 
+    /**
+     * Concerns the ejection of targets.
+     *
+     * @param event the event
+     */
+    record Ejection(EjectionEvent event) implements ControlEvent {}
+
+    /**
+     * Concerns requests that crash targets.
+     *
+     * @param event the event
+     */
+    record Poison(PoisonEvent event) implements ControlEvent {}
+
     /** The process was asked to stop. */
     record StopRequested() implements ControlEvent {}
 }
--- a/src/main/java/org/azureshed/control/ControlReducer.java
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -3,10 +3,12 @@
 import io.vavr.collection.Map;
 import java.util.ArrayList;
 import java.util.List;
+import org.azureshed.ejection.EjectionEvent;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetInfo;
+import org.azureshed.poison.PoisonEvent;
 
 /**
  * Computes the next control state and the effects of one event. It reads no clock and does no input
@@ -14,6 +16,7 @@
  */
 public final class ControlReducer {
     private final FleetReducer fleet;
+    private final TargetHealthReducer health = new TargetHealthReducer();
 
     /** Creates a reducer without seeds; nodes learn of each other from the platform first. */
     public ControlReducer() {
@@ -40,7 +43,7 @@
         return fleet.follow(state, event, reduceOwn(state, event));
     }
 
-    private static Step<ControlState, Effect> reduceOwn(ControlState state, ControlEvent event) {
+    private Step<ControlState, Effect> reduceOwn(ControlState state, ControlEvent event) {
         return switch (event) {
             case ControlEvent.Tick(long now) -> Step.of(state.withNow(now));
             case ControlEvent.TargetAnnounced(TargetInfo target) -> announce(state, target);
@@ -51,6 +54,8 @@
             case ControlEvent.NodeDeleted(NodeId id) -> deleted(state, id);
             case ControlEvent.PresetReceived(ActivePreset active) -> activate(state, active);
             case ControlEvent.StopRequested() -> stop(state);
+            case ControlEvent.Ejection(EjectionEvent inner) -> health.ejection(state, inner);
+            case ControlEvent.Poison(PoisonEvent inner) -> health.poison(state, inner);
             case ControlEvent.Membership ignored -> Step.of(state);
             case ControlEvent.Distribution ignored -> Step.of(state);
         };
--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -20,6 +20,7 @@
  * @param routes route table of the preset in force
  * @param nowMillis time of the last tick
  * @param fleet what gossip and distribution know
+ * @param health what ejection and poison know
  */
 public record ControlState(
         NodeInfo self,
@@ -27,7 +28,8 @@
         Optional<ActivePreset> active,
         RouteTable routes,
         long nowMillis,
-        FleetState fleet) {
+        FleetState fleet,
+        TargetHealth health) {
     /**
      * State of a node that has just started.
      *
@@ -41,15 +43,16 @@
                 Optional.empty(),
                 RouteTable.of(List.of()),
                 0,
-                FleetState.initial(self));
+                FleetState.initial(self),
+                TargetHealth.initial(self.id()));
     }
 
     ControlState withSelf(NodeInfo newSelf) {
-        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet);
+        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet, health);
     }
 
     ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
-        return new ControlState(self, newNodes, active, routes, nowMillis, fleet);
+        return new ControlState(self, newNodes, active, routes, nowMillis, fleet, health);
     }
 
     ControlState withActive(ActivePreset newActive) {
@@ -59,15 +62,20 @@
                 Optional.of(newActive),
                 RouteTable.of(newActive.preset().routes()),
                 nowMillis,
-                fleet);
+                fleet,
+                health);
     }
 
     ControlState withNow(long newNowMillis) {
-        return new ControlState(self, nodes, active, routes, newNowMillis, fleet);
+        return new ControlState(self, nodes, active, routes, newNowMillis, fleet, health);
     }
 
     ControlState withFleet(FleetState newFleet) {
-        return new ControlState(self, nodes, active, routes, nowMillis, newFleet);
+        return new ControlState(self, nodes, active, routes, nowMillis, newFleet, health);
+    }
+
+    ControlState withHealth(TargetHealth newHealth) {
+        return new ControlState(self, nodes, active, routes, nowMillis, fleet, newHealth);
     }
 
     Snapshot snapshot() {
@@ -83,7 +91,7 @@
                 routes,
                 java.util.Map.copyOf(candidates),
                 nodes.size() + 1,
-                java.util.Map.of());
+                health.weights(candidates, active));
     }
 
     private static void addCandidates(
--- a/src/main/java/org/azureshed/control/Effect.java
+++ b/src/main/java/org/azureshed/control/Effect.java
@@ -1,8 +1,10 @@
 package org.azureshed.control;
 
 import org.azureshed.distribution.DistributionEffect;
+import org.azureshed.ejection.EjectionEffect;
 import org.azureshed.membership.MembershipEffect;
 import org.azureshed.model.NodeInfo;
+import org.azureshed.poison.PoisonEffect;
 
 /** Something that the shell has to carry out for the reducer. */
 public sealed interface Effect {
@@ -40,4 +42,18 @@
      * @param effect the effect
      */
     record Distribution(DistributionEffect effect) implements Effect {}
+
+    /**
+     * Carries out an effect of the ejection reducer.
+     *
+     * @param effect the effect
+     */
+    record Ejection(EjectionEffect effect) implements Effect {}
+
+    /**
+     * Carries out an effect of the poison reducer.
+     *
+     * @param effect the effect
+     */
+    record Poison(PoisonEffect effect) implements Effect {}
 }
--- /dev/null
+++ b/src/main/java/org/azureshed/control/TargetHealth.java
@@ -0,0 +1,83 @@
+package org.azureshed.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.azureshed.ejection.EjectedTarget;
+import org.azureshed.ejection.EjectionRecord;
+import org.azureshed.ejection.EjectionState;
+import org.azureshed.ejection.FloorCheck;
+import org.azureshed.ejection.TargetView;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.ServicePolicy;
+import org.azureshed.model.TargetId;
+import org.azureshed.poison.PoisonState;
+import org.azureshed.routing.Candidate;
+
+/**
+ * States of the reducers that keep requests away from sick targets and targets away from poison
+ * requests.
+ *
+ * @param ejection ejected targets
+ * @param poison requests that crash targets
+ */
+public record TargetHealth(EjectionState ejection, PoisonState poison) {
+    /** Without a preset nothing may be ejected. */
+    private static final int NO_EJECTION = 100;
+
+    static TargetHealth initial(NodeId self) {
+        return new TargetHealth(EjectionState.initial(self), PoisonState.initial());
+    }
+
+    TargetHealth withEjection(EjectionState next) {
+        return new TargetHealth(next, poison);
+    }
+
+    TargetHealth withPoison(PoisonState next) {
+        return new TargetHealth(ejection, next);
+    }
+
+    /** Weights of ejected and ramping targets, as far as the newest view of the floor allows. */
+    Map<TargetId, Integer> weights(
+            Map<String, List<Candidate>> candidates, Optional<ActivePreset> active) {
+        Map<TargetId, Integer> weights = new HashMap<>();
+        for (String service : ejection.services().keySet()) {
+            EjectionRecord record = ejection.recordOf(service);
+            if (record.targets().isEmpty()) {
+                continue;
+            }
+            FloorCheck floor =
+                    new FloorCheck(
+                            views(candidates.getOrDefault(service, List.of())),
+                            floorPercent(service, active));
+            for (EjectedTarget entry : floor.enforce(record).targets()) {
+                weights.put(entry.target(), entry.stage().percent());
+            }
+        }
+        return Map.copyOf(weights);
+    }
+
+    static int floorPercent(String service, Optional<ActivePreset> active) {
+        return active.map(preset -> preset.preset().services().get(service))
+                .map(ServicePolicy::floorPercent)
+                .orElse(NO_EJECTION);
+    }
+
+    static List<TargetView> views(List<Candidate> candidates) {
+        // During a move two nodes may announce the same target for a moment.
+        Map<TargetId, TargetView> views = new HashMap<>();
+        for (Candidate candidate : candidates) {
+            TargetId id = candidate.target().id();
+            views.put(
+                    id,
+                    new TargetView(
+                            id,
+                            candidate.node().id(),
+                            candidate.target().slots(),
+                            candidate.ready()));
+        }
+        return new ArrayList<>(views.values());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Carries out the effects of ejection. */
+package org.azureshed.ejection.internal;
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -121,6 +121,12 @@
             case Effect.PublishSnapshot(Snapshot snapshot) -> applyToAdmission(snapshot);
             case Effect.Membership(var membership) -> fleet.carryOut(membership);
             case Effect.Distribution(var content) -> distribution.carryOut(content);
+            case Effect.Ejection(var ejection) -> {
+                // Carried out by EjectionShell once the node creates one.
+            }
+            case Effect.Poison(var poison) -> {
+                // Taken by the entry and host sides once they compute fingerprints.
+            }
         }
     }
 
