--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetInfo;
@@ -20,6 +21,7 @@
  * @param routes route table of the preset in force
  * @param nowMillis time of the last tick
  * @param fleet what gossip and distribution know
+ * @param health what ejection and poison know
  * @param announcements when the targets of this VM announced themselves last
  */
 public record ControlState(
@@ -29,6 +31,7 @@
         RouteTable routes,
         long nowMillis,
         FleetState fleet,
+        TargetHealth health,
         Announcements announcements) {
     /**
      * State of a node that has just started.
@@ -44,15 +47,18 @@
                 RouteTable.of(List.of()),
                 0,
                 FleetState.initial(self),
+                TargetHealth.initial(self.id()),
                 Announcements.empty());
     }
 
     ControlState withSelf(NodeInfo newSelf) {
-        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet, announcements);
+        return new ControlState(
+                newSelf, nodes, active, routes, nowMillis, fleet, health, announcements);
     }
 
     ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
-        return new ControlState(self, newNodes, active, routes, nowMillis, fleet, announcements);
+        return new ControlState(
+                self, newNodes, active, routes, nowMillis, fleet, health, announcements);
     }
 
     ControlState withActive(ActivePreset newActive) {
@@ -63,19 +69,28 @@
                 RouteTable.of(newActive.preset().routes()),
                 nowMillis,
                 fleet,
+                health,
                 announcements);
     }
 
     ControlState withNow(long newNowMillis) {
-        return new ControlState(self, nodes, active, routes, newNowMillis, fleet, announcements);
+        return new ControlState(
+                self, nodes, active, routes, newNowMillis, fleet, health, announcements);
     }
 
     ControlState withFleet(FleetState newFleet) {
-        return new ControlState(self, nodes, active, routes, nowMillis, newFleet, announcements);
+        return new ControlState(
+                self, nodes, active, routes, nowMillis, newFleet, health, announcements);
+    }
+
+    ControlState withHealth(TargetHealth newHealth) {
+        return new ControlState(
+                self, nodes, active, routes, nowMillis, fleet, newHealth, announcements);
     }
 
     ControlState withAnnouncements(Announcements newAnnouncements) {
-        return new ControlState(self, nodes, active, routes, nowMillis, fleet, newAnnouncements);
+        return new ControlState(
+                self, nodes, active, routes, nowMillis, fleet, health, newAnnouncements);
     }
 
     Snapshot snapshot() {
@@ -84,6 +99,9 @@
         for (NodeInfo node : nodes.values()) {
             addCandidates(node, candidates);
         }
+        java.util.Map<NodeId, Endpoint> addresses = new java.util.HashMap<>();
+        addresses.put(self.id(), self.control());
+        nodes.forEach((id, node) -> addresses.put(id, node.control()));
         candidates.replaceAll((service, list) -> List.copyOf(list));
         return new Snapshot(
                 self,
@@ -91,7 +109,8 @@
                 routes,
                 java.util.Map.copyOf(candidates),
                 nodes.size() + 1,
-                java.util.Map.of());
+                java.util.Map.copyOf(addresses),
+                health.weights(candidates, active));
     }
 
     private static void addCandidates(
--- a/src/main/java/org/azureshed/control/Snapshot.java
+++ b/src/main/java/org/azureshed/control/Snapshot.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
@@ -17,6 +19,7 @@
  * @param routes routes of the preset in force
  * @param candidates targets by service
  * @param nodeCount number of known nodes, with this one
+ * @param controlAddresses control addresses of all known nodes
  * @param weights weights in percent of ejected targets and of those in readmission
  */
 public record Snapshot(
@@ -25,6 +28,7 @@
         RouteTable routes,
         Map<String, List<Candidate>> candidates,
         int nodeCount,
+        Map<NodeId, Endpoint> controlAddresses,
         Map<TargetId, Integer> weights) {
     private static final int FULL_WEIGHT = 100;
 
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -9,6 +9,9 @@
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
 import org.azureshed.distribution.ContentStore;
+import org.azureshed.idempotency.KeyClaims;
+import org.azureshed.idempotency.KeyTiming;
+import org.azureshed.idempotency.NodeInstance;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
@@ -51,6 +54,13 @@
         return new Admission();
     }
 
+    @Provides
+    @Singleton
+    KeyClaims keyClaims(NodeInfo self, NodeShell shell) {
+        NodeInstance instance = new NodeInstance(self.id(), self.incarnation());
+        return new KeyClaims(instance, shell.keys(), KeyTiming.STANDARD);
+    }
+
     @Provides
     @Singleton
     ControlLoop controlLoop(NodeInfo self, NodeShell shell) {
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.azureshed.admission.Admission;
 import org.azureshed.control.ActivePreset;
 import org.azureshed.control.ControlEvent;
@@ -17,8 +18,12 @@
 import org.azureshed.distribution.internal.DistributionShell;
 import org.azureshed.distribution.internal.PresetFeed;
 import org.azureshed.generated.ControlMessage;
+import org.azureshed.idempotency.NodeInstance;
+import org.azureshed.idempotency.internal.KeyShell;
 import org.azureshed.membership.MembershipEffect;
 import org.azureshed.membership.internal.FleetShell;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.ServicePolicy;
 import org.azureshed.platform.ObjectStore;
@@ -41,6 +46,8 @@
     private final FleetMetrics metrics;
     private final FleetShell fleet;
     private final DistributionShell distribution;
+    private final KeyShell keys;
+    private final Provider<ControlLoop> control;
     private final List<Thread> threads = new ArrayList<>();
 
     @Inject
@@ -56,6 +63,7 @@
             FleetMetrics metrics,
             Provider<ControlLoop> control) {
         this.self = self;
+        this.control = control;
         this.publisher = publisher;
         this.nodes = nodes;
         this.relay = relay;
@@ -76,6 +84,13 @@
                         PresetChunks.KIND,
                         event -> control.get().submit(new ControlEvent.Distribution(event)),
                         this::carryOutPreset);
+        this.keys =
+                new KeyShell(
+                        new NodeInstance(self.id(), self.incarnation()),
+                        store,
+                        fleet.transport(),
+                        this::controlAddress,
+                        event -> control.get().submit(new ControlEvent.Keys(event)));
         this.presets =
                 new PresetFeed(
                         store,
@@ -95,6 +110,7 @@
                         (TransportError error) -> {
                             throw new IllegalStateException(error.message());
                         });
+        keys.start();
         startThread("self-publisher", publisher::run);
         startThread("node-watcher", nodes::run);
     }
@@ -106,6 +122,7 @@
     /** Stops the background threads and closes the control connections. */
     void stop() {
         threads.forEach(Thread::interrupt);
+        keys.close();
         fleet.close();
     }
 
@@ -121,6 +138,13 @@
             case Effect.PublishSnapshot(Snapshot snapshot) -> applyToAdmission(snapshot);
             case Effect.Membership(var membership) -> fleet.carryOut(membership);
             case Effect.Distribution(var content) -> distribution.carryOut(content);
+            case Effect.Keys(var key) -> keys.carryOut(key);
+            case Effect.Ejection(var ejection) -> {
+                // Carried out by EjectionShell once the node creates one.
+            }
+            case Effect.Poison(var poison) -> {
+                // Taken by the entry and host sides once they compute fingerprints.
+            }
         }
     }
 
@@ -148,18 +172,30 @@
             default -> {
                 // Spread records concern parts that read them from the control state.
             }
-            case Effect.Keys(var keys) -> {
-                // Carried out by KeyShell once the node starts a control transport.
-            }
         }
     }
 
     private void received(ControlMessage message, ControlHandler.Replier replier) {
         if (!distribution.serve(message, replier)) {
-            EventLog.warning("control_message_ignored").with("body", message.getBodyCase()).write();
+            keys.received(message, replier);
         }
     }
 
+    /** The control address of a node, this one included. */
+    private Optional<Endpoint> controlAddress(NodeId id) {
+        Snapshot snapshot = control.get().snapshot();
+        return Optional.ofNullable(snapshot.controlAddresses().get(id));
+    }
+
+    /**
+     * Connections to the owners of key ranges, for the proxy.
+     *
+     * @return the shell
+     */
+    KeyShell keys() {
+        return keys;
+    }
+
     private void applyToAdmission(Snapshot snapshot) {
         Map<String, ServicePolicy> policies =
                 snapshot.active().map(active -> active.preset().services()).orElse(Map.of());
