--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -7,15 +7,18 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.Preset;
+import org.azureshed.model.TargetState;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.preset.ChangeRequest;
 import org.azureshed.preset.PresetCodec;
 import org.azureshed.preset.PresetOperations;
+import org.azureshed.routing.Candidate;
 import org.azureshed.standin.PlatformStandIn;
 
 /** A platform stand-in and nodes in the test's own process, with the example preset in force. */
@@ -41,21 +44,25 @@
         return new HttpObjectStore(platform.uri());
     }
 
+    /** Settings of a node with free ports. */
+    public static NodeSettings settings(String id, URI platform) throws IOException {
+        return new NodeSettings(
+                new NodeId(id),
+                "region-1",
+                "zone-" + id,
+                "127.0.0.1",
+                freePort(),
+                freePort(),
+                freePort(),
+                "127.0.0.1",
+                freePort(),
+                platform,
+                List.of());
+    }
+
     /** Starts a node and waits until it has the preset. */
     public NodeSettings startNode(String id) throws Exception {
-        NodeSettings settings =
-                new NodeSettings(
-                        new NodeId(id),
-                        "region-1",
-                        "zone-" + id,
-                        "127.0.0.1",
-                        freePort(),
-                        freePort(),
-                        freePort(),
-                        "127.0.0.1",
-                        freePort(),
-                        platform.uri(),
-                        List.of());
+        NodeSettings settings = settings(id, platform.uri());
         NodeApplication node = new NodeApplication(settings);
         node.run();
         nodes.add(node);
@@ -66,21 +73,43 @@
     /** Announces a target that listens on a port of this machine, and waits for the node. */
     public void announce(NodeSettings node, String id, String service, int port, int slots)
             throws Exception {
-        NodeApplication application =
-                nodes.stream()
-                        .filter(candidate -> candidate.settings().equals(node))
-                        .findFirst()
-                        .orElseThrow();
-        application.announce(
-                new TargetAnnouncement(id, service, "127.0.0.1:" + port, slots, "ready"));
+        announce(node, id, service, port, slots, TargetState.READY);
+    }
+
+    /** Announces a target in any state, and waits until all nodes know the state. */
+    public void announce(
+            NodeSettings node, String id, String service, int port, int slots, TargetState state)
+            throws Exception {
+        application(node)
+                .announce(
+                        new TargetAnnouncement(
+                                id,
+                                service,
+                                "127.0.0.1:" + port,
+                                slots,
+                                state.name().toLowerCase(Locale.ROOT)));
         for (NodeApplication other : nodes) {
-            await(() -> knows(other, service, id), "target " + id);
+            await(() -> knows(other, service, id, state), "target " + id + " " + state);
         }
     }
 
-    private static boolean knows(NodeApplication node, String service, String target) {
+    /** The name of the preset in force on a node. */
+    public String activePreset(NodeSettings node) {
+        return application(node).snapshot().active().orElseThrow().preset().name();
+    }
+
+    private NodeApplication application(NodeSettings settings) {
+        return nodes.stream()
+                .filter(node -> node.settings().equals(settings))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static boolean knows(
+            NodeApplication node, String service, String target, TargetState state) {
         return node.snapshot().candidatesOf(service).stream()
-                .anyMatch(candidate -> candidate.target().id().value().equals(target));
+                .map(Candidate::target)
+                .anyMatch(info -> info.id().value().equals(target) && info.state() == state);
     }
 
     /** Waits for a condition, and fails with its name. */
