--- /dev/null
+++ b/src/main/java/org/azureshed/bench/ScalePoint.java
@@ -0,0 +1,117 @@
+package org.azureshed.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.OrganisationLimit;
+import org.azureshed.model.Preset;
+import org.azureshed.model.RequestClass;
+import org.azureshed.model.Route;
+import org.azureshed.model.ServicePolicy;
+import org.azureshed.model.TargetId;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.model.TargetState;
+
+/**
+ * Size of a generated fleet and preset.
+ *
+ * @param nodes number of nodes in 10 availability zones
+ * @param instances number of targets, spread evenly over the nodes and 500 services
+ * @param routes number of routes in the preset
+ * @param organisations number of organisations in the preset
+ */
+public record ScalePoint(int nodes, int instances, int routes, int organisations) {
+    private static final int ZONES = 10;
+    private static final int SERVICES = 500;
+    private static final int SLOTS = 4;
+    private static final long START_MILLIS = 1_796_000_000_000L;
+    private static final String HOST = "www.archive.example";
+
+    NodeInfo node(int index) {
+        String vm = "10." + index / 65_536 + "." + index / 256 % 256 + "." + index % 256;
+        List<TargetInfo> targets = new ArrayList<>();
+        int first = (int) ((long) instances * index / nodes);
+        int end = (int) ((long) instances * (index + 1) / nodes);
+        for (int i = first; i < end; i++) {
+            String service = "service-" + i % SERVICES;
+            targets.add(
+                    new TargetInfo(
+                            new TargetId(service + "." + i),
+                            service,
+                            new Endpoint(vm, 8_100 + i - first),
+                            SLOTS,
+                            TargetState.READY));
+        }
+        int zone = index % ZONES;
+        return new NodeInfo(
+                new NodeId("node-" + index),
+                "region-" + zone / 3,
+                "zone-" + zone,
+                new Endpoint(vm, 8_001),
+                new Endpoint(vm, 8_002),
+                new Endpoint(vm, 8_003),
+                START_MILLIS + index,
+                1,
+                false,
+                targets);
+    }
+
+    List<NodeInfo> others() {
+        List<NodeInfo> others = new ArrayList<>();
+        for (int i = 1; i < nodes; i++) {
+            others.add(node(i));
+        }
+        return others;
+    }
+
+    /** The preset, with one edited route for an edit above 0. */
+    Preset preset(int edit) {
+        Map<String, ServicePolicy> services = new HashMap<>();
+        for (int i = 0; i < SERVICES; i++) {
+            services.put("service-" + i, new ServicePolicy("service-" + i, 60, 50, 10));
+        }
+        List<Route> all = new ArrayList<>();
+        for (int i = 0; i < routes; i++) {
+            boolean edited = edit > 0 && i == edit;
+            all.add(route(i, edited ? "/moved-" + edit : path(i)));
+        }
+        Map<String, OrganisationLimit> limits = new HashMap<>();
+        for (int i = 0; i < organisations; i++) {
+            limits.put("organisation-" + i, new OrganisationLimit(50 + i % 9, 20));
+        }
+        return new Preset(
+                "full",
+                "ordinary days",
+                "on ordinary days",
+                "refusals by reason",
+                "X-Organisation",
+                services,
+                Map.of("page", new RequestClass("page", false, true, 2_000, 200, 0)),
+                all,
+                limits,
+                new OrganisationLimit(10, 5));
+    }
+
+    String path(int route) {
+        return "/area-" + route % 100 + "/collection-" + route;
+    }
+
+    String host() {
+        return HOST;
+    }
+
+    private static Route route(int number, String path) {
+        return new Route(
+                "route-" + number,
+                HOST,
+                path,
+                Set.of("GET", "POST"),
+                "service-" + number % SERVICES,
+                "page");
+    }
+}
