Keep the targets of each service between changes of nodes

Change: ControlState has a CandidateIndex, which replaces the lists of the changed node's services only. A listing merges all its records in one step. ControlReducerTest compares the view with the records after random events and checks that the lists of other services stay the same objects.

--- a/src/main/java/org/azureshed/control/ControlReducer.java
+++ b/src/main/java/org/azureshed/control/ControlReducer.java
@@ -1,6 +1,5 @@
 package org.azureshed.control;
 
-import io.vavr.collection.Map;
 import java.util.ArrayList;
 import java.util.List;
 import org.azureshed.model.Endpoint;
@@ -92,14 +91,14 @@
      * and gossip tells which nodes are gone.
      */
     private static Step<ControlState, Effect> listed(ControlState state, List<NodeInfo> nodes) {
-        Map<NodeId, NodeInfo> merged = state.nodes();
+        List<NodeInfo> updated = new ArrayList<>();
         for (NodeInfo node : nodes) {
-            if (!node.id().equals(state.self().id())) {
-                NodeInfo known = state.nodes().getOrElse(node.id(), node);
-                merged = merged.put(node.id(), known.supersedes(node) ? known : node);
+            boolean stale = state.nodes().get(node.id()).exists(known -> known.supersedes(node));
+            if (!node.id().equals(state.self().id()) && !stale) {
+                updated.add(node);
             }
         }
-        return publish(state.withNodes(merged));
+        return publish(state.withNodes(updated, List.of()));
     }
 
     private static Step<ControlState, Effect> seen(ControlState state, NodeInfo node) {
@@ -108,14 +107,14 @@
         if (own || stale) {
             return Step.of(state);
         }
-        return publish(state.withNodes(state.nodes().put(node.id(), node)));
+        return publish(state.withNodes(List.of(node), List.of()));
     }
 
     private static Step<ControlState, Effect> deleted(ControlState state, NodeId id) {
         if (!state.nodes().containsKey(id)) {
             return Step.of(state);
         }
-        return publish(state.withNodes(state.nodes().remove(id)));
+        return publish(state.withNodes(List.of(), List.of(id)));
     }
 
     private static Step<ControlState, Effect> activate(ControlState state, ActivePreset active) {
--- a/src/main/java/org/azureshed/control/ControlState.java
+++ b/src/main/java/org/azureshed/control/ControlState.java
@@ -3,12 +3,11 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
-import org.azureshed.model.TargetInfo;
-import org.azureshed.routing.Candidate;
 import org.azureshed.routing.RouteTable;
 
 /**
@@ -16,6 +15,7 @@
  *
  * @param self this node's own record
  * @param nodes records of the other nodes
+ * @param candidates targets of all nodes by service
  * @param active the preset in force, or empty before the first one is known
  * @param routes route table of the preset in force
  * @param nowMillis time of the last tick
@@ -24,6 +24,7 @@
 public record ControlState(
         NodeInfo self,
         Map<NodeId, NodeInfo> nodes,
+        CandidateIndex candidates,
         Optional<ActivePreset> active,
         RouteTable routes,
         long nowMillis,
@@ -38,6 +39,7 @@
         return new ControlState(
                 self,
                 HashMap.empty(),
+                CandidateIndex.empty().replace(List.of(), List.of(self)),
                 Optional.empty(),
                 RouteTable.of(List.of()),
                 0,
@@ -45,17 +47,56 @@
     }
 
     ControlState withSelf(NodeInfo newSelf) {
-        return new ControlState(newSelf, nodes, active, routes, nowMillis, fleet);
+        return new ControlState(
+                newSelf,
+                nodes,
+                candidates.replace(List.of(self), List.of(newSelf)),
+                active,
+                routes,
+                nowMillis,
+                fleet);
     }
 
-    ControlState withNodes(Map<NodeId, NodeInfo> newNodes) {
-        return new ControlState(self, newNodes, active, routes, nowMillis, fleet);
+    /**
+     * Copies the state with other records of some other nodes.
+     *
+     * @param updated new records, of any version
+     * @param removed nodes without a record in the copy
+     * @return the copy, or this state if it has these records
+     */
+    ControlState withNodes(Collection<NodeInfo> updated, Collection<NodeId> removed) {
+        Map<NodeId, NodeInfo> newNodes = nodes;
+        List<NodeInfo> before = new ArrayList<>();
+        List<NodeInfo> after = new ArrayList<>();
+        for (NodeInfo node : updated) {
+            if (!nodes.get(node.id()).contains(node)) {
+                nodes.get(node.id()).peek(before::add);
+                after.add(node);
+                newNodes = newNodes.put(node.id(), node);
+            }
+        }
+        for (NodeId id : removed) {
+            nodes.get(id).peek(before::add);
+            newNodes = newNodes.remove(id);
+        }
+        if (before.isEmpty() && after.isEmpty()) {
+            return this;
+        }
+        return new ControlState(
+                self,
+                newNodes,
+                candidates.replace(before, after),
+                active,
+                routes,
+                nowMillis,
+                fleet);
     }
 
     ControlState withActive(ActivePreset newActive) {
         return new ControlState(
                 self,
                 nodes,
+                candidates,
                 Optional.of(newActive),
                 RouteTable.of(newActive.preset().routes()),
                 nowMillis,
@@ -63,35 +104,15 @@
     }
 
     ControlState withNow(long newNowMillis) {
-        return new ControlState(self, nodes, active, routes, newNowMillis, fleet);
+        return new ControlState(self, nodes, candidates, active, routes, newNowMillis, fleet);
     }
 
     ControlState withFleet(FleetState newFleet) {
-        return new ControlState(self, nodes, active, routes, nowMillis, newFleet);
+        return new ControlState(self, nodes, candidates, active, routes, nowMillis, newFleet);
     }
 
     Snapshot snapshot() {
-        java.util.Map<String, List<Candidate>> candidates = new java.util.HashMap<>();
-        addCandidates(self, candidates);
-        for (NodeInfo node : nodes.values()) {
-            addCandidates(node, candidates);
-        }
-        candidates.replaceAll((service, list) -> List.copyOf(list));
         return new Snapshot(
-                self,
-                active,
-                routes,
-                java.util.Map.copyOf(candidates),
-                nodes.size() + 1,
-                java.util.Map.of());
-    }
-
-    private static void addCandidates(
-            NodeInfo node, java.util.Map<String, List<Candidate>> candidates) {
-        for (TargetInfo target : node.targets()) {
-            candidates
-                    .computeIfAbsent(target.service(), service -> new ArrayList<>())
-                    .add(new Candidate(node, target));
-        }
+                self, active, routes, candidates.byService(), nodes.size() + 1, java.util.Map.of());
     }
 }
--- a/src/main/java/org/azureshed/control/FleetReducer.java
+++ b/src/main/java/org/azureshed/control/FleetReducer.java
@@ -1,7 +1,6 @@
 package org.azureshed.control;
 
 import com.google.protobuf.ByteString;
-import io.vavr.collection.Map;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -155,17 +154,9 @@
         }
 
         private void changeView(List<NodeInfo> updated, List<NodeId> removed) {
-            Map<NodeId, NodeInfo> nodes = state.nodes();
-            for (NodeInfo node : updated) {
-                if (!nodes.get(node.id()).contains(node)) {
-                    nodes = nodes.put(node.id(), node);
-                }
-            }
-            nodes = nodes.removeAll(removed);
-            if (nodes != state.nodes()) {
-                state = state.withNodes(nodes);
-                snapshotChanged = true;
-            }
+            ControlState next = state.withNodes(updated, removed);
+            snapshotChanged |= next != state;
+            state = next;
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/azureshed/control/ControlReducerTest.java
@@ -0,0 +1,153 @@
+package org.azureshed.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.azureshed.bench.GossipFleet;
+import org.azureshed.model.NodeId;
+import org.azureshed.model.NodeInfo;
+import org.azureshed.model.TargetInfo;
+import org.azureshed.model.TargetState;
+import org.azureshed.routing.Candidate;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against views whose targets by service differ from the records of the nodes. */
+class ControlReducerTest {
+    private static final int NODES = 40;
+    private static final int EVENTS = 400;
+
+    private final ControlReducer reducer = new ControlReducer();
+    private final Map<NodeId, NodeInfo> others = new HashMap<>();
+    private ControlState state = ControlState.initial(GossipFleet.node(0));
+    private int version;
+    private Snapshot snapshot = state.snapshot();
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void targetsOfServicesFollowEveryEvent(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int i = 0; i < EVENTS; i++) {
+            Snapshot before = snapshot;
+            Set<String> touched = new HashSet<>();
+            submit(event(random, touched));
+            assertEquals(expected(), actual());
+            assertEquals(others.size() + 1, snapshot.nodeCount());
+            for (String service : snapshot.candidates().keySet()) {
+                if (!touched.contains(service)) {
+                    // A picker computes its subset again for a list that it has not seen.
+                    assertSame(before.candidatesOf(service), snapshot.candidatesOf(service));
+                }
+            }
+        }
+    }
+
+    private ControlEvent event(SplittableRandom random, Set<String> touched) {
+        NodeInfo known = state.self();
+        TargetInfo own = known.targets().get(random.nextInt(known.targets().size()));
+        NodeId id = new NodeId("node-" + (1 + random.nextInt(NODES)));
+        switch (random.nextInt(4)) {
+            case 0 -> {
+                services(known, touched);
+                return new ControlEvent.TargetAnnounced(toggled(own));
+            }
+            case 1 -> {
+                NodeInfo removed = others.remove(id);
+                if (removed != null) {
+                    services(removed, touched);
+                }
+                return new ControlEvent.NodeDeleted(id);
+            }
+            case 2 -> {
+                return new ControlEvent.NodeSeen(changed(id, random, touched));
+            }
+            default -> {
+                List<NodeInfo> listed = new ArrayList<>();
+                NodeId second = new NodeId("node-" + (1 + NODES + random.nextInt(NODES)));
+                listed.add(changed(id, random, touched));
+                listed.add(changed(second, random, touched));
+                return new ControlEvent.NodesListed(listed);
+            }
+        }
+    }
+
+    /** Moves a target to the end, or adds or drops one, in a version above all earlier ones. */
+    private NodeInfo changed(NodeId id, SplittableRandom random, Set<String> touched) {
+        int index = Integer.parseInt(id.value().substring("node-".length()));
+        NodeInfo before = others.getOrDefault(id, GossipFleet.node(index));
+        List<TargetInfo> targets = new ArrayList<>(before.targets());
+        if (targets.size() > 1 && random.nextBoolean()) {
+            targets.removeFirst();
+        } else {
+            targets = new ArrayList<>(GossipFleet.node(index).targets());
+            targets.add(toggled(targets.removeFirst()));
+        }
+        // Deletions leave tombstones, which only a later incarnation replaces.
+        NodeInfo after =
+                new NodeInfo(
+                        id,
+                        before.region(),
+                        before.availabilityZone(),
+                        before.entry(),
+                        before.host(),
+                        before.control(),
+                        GossipFleet.node(index).incarnation() + 1 + ++version,
+                        1,
+                        false,
+                        targets);
+        services(before, touched);
+        services(after, touched);
+        others.put(id, after);
+        return after;
+    }
+
+    private void submit(ControlEvent event) {
+        Step<ControlState, Effect> step = reducer.reduce(state, event);
+        state = step.state();
+        for (Effect effect : step.effects()) {
+            if (effect instanceof Effect.PublishSnapshot(Snapshot published)) {
+                snapshot = published;
+            }
+        }
+    }
+
+    private Map<String, Set<Candidate>> expected() {
+        Map<String, Set<Candidate>> expected = new HashMap<>();
+        List<NodeInfo> all = new ArrayList<>(others.values());
+        all.add(state.self());
+        for (NodeInfo node : all) {
+            for (TargetInfo target : node.targets()) {
+                expected.computeIfAbsent(target.service(), name -> new HashSet<>())
+                        .add(new Candidate(node, target));
+            }
+        }
+        return expected;
+    }
+
+    private Map<String, Set<Candidate>> actual() {
+        Map<String, Set<Candidate>> actual = new HashMap<>();
+        snapshot.candidates()
+                .forEach(
+                        (service, list) -> {
+                            actual.put(service, new HashSet<>(list));
+                            assertEquals(list.size(), actual.get(service).size(), service);
+                        });
+        return actual;
+    }
+
+    private static void services(NodeInfo node, Set<String> touched) {
+        node.targets().forEach(target -> touched.add(target.service()));
+    }
+
+    private static TargetInfo toggled(TargetInfo target) {
+        boolean ready = target.state() == TargetState.READY;
+        return target.withState(ready ? TargetState.DRAINING : TargetState.READY);
+    }
+}
