--- a/src/main/java/org/azureshed/control/Snapshot.java
+++ b/src/main/java/org/azureshed/control/Snapshot.java
@@ -18,8 +18,7 @@
  * @param active the preset in force, or empty before the first one is known
  * @param routes routes of the preset in force
  * @param candidates targets by service
- * @param nodeCount number of known nodes, with this one
- * @param controlAddresses control addresses of all known nodes
+ * @param nodes records of the other nodes
  * @param weights weights in percent of ejected targets and of those in readmission
  */
 public record Snapshot(
@@ -27,11 +26,31 @@
         Optional<ActivePreset> active,
         RouteTable routes,
         Map<String, List<Candidate>> candidates,
-        int nodeCount,
-        Map<NodeId, Endpoint> controlAddresses,
+        io.vavr.collection.Map<NodeId, NodeInfo> nodes,
         Map<TargetId, Integer> weights) {
     private static final int FULL_WEIGHT = 100;
 
+    /**
+     * The number of known nodes.
+     *
+     * @return a count with this node
+     */
+    public int nodeCount() {
+        return nodes.size() + 1;
+    }
+
+    /**
+     * The control address of a node.
+     *
+     * @param id any node, this one included
+     * @return its address, or empty if the node is not known
+     */
+    public Optional<Endpoint> controlAddress(NodeId id) {
+        return id.equals(self.id())
+                ? Optional.of(self.control())
+                : nodes.get(id).map(NodeInfo::control).toJavaOptional();
+    }
+
     /**
      * The share of its usual requests that a target shall get.
      *
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -183,8 +183,7 @@
 
     /** The control address of a node, this one included. */
     private Optional<Endpoint> controlAddress(NodeId id) {
-        Snapshot snapshot = control.get().snapshot();
-        return Optional.ofNullable(snapshot.controlAddresses().get(id));
+        return control.get().snapshot().controlAddress(id);
     }
 
     /**
