--- a/src/test/java/org/azureshed/control/ControlSessionTest.java
+++ b/src/test/java/org/azureshed/control/ControlSessionTest.java
@@ -74,6 +74,9 @@
             case Effect.Membership(var inner) -> "membership: " + inner.getClass().getSimpleName();
             case Effect.Distribution(var inner) ->
                     "distribution: " + inner.getClass().getSimpleName();
+            case Effect.Keys(var inner) -> "keys: " + inner.getClass().getSimpleName();
+            case Effect.Ejection(var inner) -> "ejection: " + inner.getClass().getSimpleName();
+            case Effect.Poison(var inner) -> "poison: " + inner.getClass().getSimpleName();
         };
     }
 
