Give each test port only once

Cause: one of 38 steps of the features failed in one run with "two ports of the node are equal": the kernel offered a port again that had just been closed.

Change: FleetInProcess remembers the ports that it has given out.

--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
@@ -25,6 +27,7 @@
 public final class FleetInProcess implements AutoCloseable {
     private static final long AWAIT_MILLIS = 20_000;
     private static final long POLL_MILLIS = 20;
+    private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
 
     private final PlatformStandIn platform = new PlatformStandIn(0);
     private final List<NodeApplication> nodes = new ArrayList<>();
@@ -123,10 +126,14 @@
         }
     }
 
-    /** A port that was free a moment ago. */
+    /** A port that was free a moment ago; the kernel may offer the same one again soon. */
     public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0)) {
+                if (GIVEN_PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
