Wait for the listing of nodes before a node becomes a relay

Cause: a node that knew only itself took itself for a relay in its first gossip round (seen with the reducer: the round gave WatchIndex). When all 2,400 nodes restart and the platform is slow, each of them would read the manifest and 498 chunks of a preset: 1.2 million reads, 600 s at 2,000 reads/s, by computation.

Change: the role is decided once the nodes were listed, 2 rounds after gossip brought other nodes, or after 15 rounds of a second. A node that can do neither still becomes a relay, as before.

The effect on a fleet of this size is computed, not run.

--- a/src/main/java/org/azureshed/control/FleetReducer.java
+++ b/src/main/java/org/azureshed/control/FleetReducer.java
@@ -38,6 +38,7 @@
         }
         switch (event) {
             case ControlEvent.NodesListed(List<NodeInfo> nodes) -> {
+                run.state = run.state.withFleet(run.state.fleet().withRole());
                 run.membershipEvents.add(new MembershipEvent.RecordsRead(nodes));
                 pingUnlisted(run, before, nodes);
             }
@@ -54,7 +55,9 @@
                 run.membershipEvents.add(inner);
                 if (inner instanceof MembershipEvent.GossipDue(long now, long seed)) {
                     run.distributionEvents.add(new DistributionEvent.Due(now, ~seed));
-                    run.zoneDue = true;
+                    run.zoneDue = before.fleet().roundsBeforeRole() == 0;
+                    FleetState next = before.fleet().withRound(!before.nodes().isEmpty());
+                    run.state = run.state.withFleet(next);
                 }
             }
             case ControlEvent.Distribution(DistributionEvent inner) ->
--- a/src/test/java/org/azureshed/control/ControlReducerTest.java
+++ b/src/test/java/org/azureshed/control/ControlReducerTest.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.azureshed.bench.GossipFleet;
+import org.azureshed.distribution.DistributionEffect;
+import org.azureshed.membership.MembershipEvent;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.model.TargetInfo;
@@ -49,6 +51,31 @@
         }
     }
 
+    /** Without the wait, all nodes of a restarting fleet read the whole preset. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNodeWatchesTheIndexOnlyAfterTheListingOrAWait(boolean platformReplies) {
+        for (int second = 0; second < 15; second++) {
+            assertEquals(0, watches(second), "watch after " + second + " s");
+        }
+        if (platformReplies) {
+            state = ControlState.initial(GossipFleet.node(0));
+            assertEquals(0, watches(1));
+            submit(new ControlEvent.NodesListed(List.of(GossipFleet.node(0))));
+        }
+        assertEquals(1, watches(16));
+    }
+
+    private long watches(int second) {
+        ControlEvent round =
+                new ControlEvent.Membership(new MembershipEvent.GossipDue(1_000L * second, 7));
+        Step<ControlState, Effect> step = reducer.reduce(state, round);
+        state = step.state();
+        return step.effects().stream()
+                .filter(new Effect.Distribution(new DistributionEffect.WatchIndex(true))::equals)
+                .count();
+    }
+
     private ControlEvent event(SplittableRandom random, Set<String> touched) {
         NodeInfo known = state.self();
         TargetInfo own = known.targets().get(random.nextInt(known.targets().size()));
