Act on ejection in the running node

Cause: the decision code of ejection was reduced by the control loop, but no node measured its targets, sent digests or carried out the effects.

Change: the host side measures service times and outcomes of its targets and sends the digest as a field of Azureshed-Load; the entry side passes at most one digest per target and second to the control loop; HealthShell runs EjectionShell and its probes. Every node lists the kind ejection once, relays watch it, and gossip carries a changed record whole, so that the other nodes make no call of the platform. Requests that never ran at a target are no errors of it.

--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -9,6 +9,7 @@
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
 import org.azureshed.distribution.ContentStore;
+import org.azureshed.ejection.HostMeter;
 import org.azureshed.idempotency.KeyClaims;
 import org.azureshed.idempotency.KeyTiming;
 import org.azureshed.idempotency.NodeInstance;
@@ -54,6 +55,12 @@
         return new Admission();
     }
 
+    @Provides
+    @Singleton
+    HostMeter hostMeter() {
+        return new HostMeter();
+    }
+
     @Provides
     @Singleton
     KeyClaims keyClaims(NodeInfo self, NodeShell shell) {
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -47,6 +47,8 @@
     private final FleetShell fleet;
     private final DistributionShell distribution;
     private final KeyShell keys;
+    private final HealthShell health;
+    private final EjectionWatcher ejections;
     private final Provider<ControlLoop> control;
     private final List<Thread> threads = new ArrayList<>();
 
@@ -61,7 +63,11 @@
             NodeRecords records,
             Admission admission,
             FleetMetrics metrics,
+            HealthShell health,
+            EjectionWatcher ejections,
             Provider<ControlLoop> control) {
+        this.health = health;
+        this.ejections = ejections;
         this.self = self;
         this.control = control;
         this.publisher = publisher;
@@ -111,6 +117,8 @@
                             throw new IllegalStateException(error.message());
                         });
         keys.start();
+        health.start();
+        startThread("ejection-watcher", ejections::run);
         startThread("self-publisher", publisher::run);
         startThread("node-watcher", nodes::run);
     }
@@ -123,6 +131,7 @@
     void stop() {
         threads.forEach(Thread::interrupt);
         keys.close();
+        health.close();
         fleet.close();
     }
 
@@ -139,9 +148,7 @@
             case Effect.Membership(var membership) -> fleet.carryOut(membership);
             case Effect.Distribution(var content) -> distribution.carryOut(content);
             case Effect.Keys(var key) -> keys.carryOut(key);
-            case Effect.Ejection(var ejection) -> {
-                // Carried out by EjectionShell once the node creates one.
-            }
+            case Effect.Ejection(var ejection) -> health.carryOut(ejection);
             case Effect.Poison(var poison) -> {
                 // Taken by the entry and host sides once they compute fingerprints.
             }
@@ -158,6 +165,7 @@
     private void carryOutOther(MembershipEffect effect) {
         switch (effect) {
             case MembershipEffect.DeleteRecord delete -> records.delete(delete);
+            case MembershipEffect.SpreadReceived(var deltas) -> health.heard(deltas);
             case MembershipEffect.DuplicateNodeId(NodeInfo other) ->
                     EventLog.warning("duplicate_node_id")
                             .with("node", other.id())
@@ -170,7 +178,7 @@
                             .with("reachable", reachable)
                             .write();
             default -> {
-                // Spread records concern parts that read them from the control state.
+                // Carried out by FleetShell or reduced before.
             }
         }
     }
@@ -200,6 +208,7 @@
         Map<String, ServicePolicy> policies =
                 snapshot.active().map(active -> active.preset().services()).orElse(Map.of());
         admission.apply(snapshot.self().targets(), policies, System.nanoTime());
+        health.follow(snapshot.self().targets());
     }
 
     private void logActivation(ActivePreset active) {
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -33,6 +33,7 @@
 
     private final TargetChooser chooser;
     private final HostClocks clocks;
+    private final DigestFeed digests;
     private final HostPermits permits;
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
@@ -43,10 +44,12 @@
     Dispatcher(
             TargetChooser chooser,
             HostClocks clocks,
+            DigestFeed digests,
             FleetMetrics metrics,
             ExchangeMonitor monitor,
             NodeInfo self) {
         this.clocks = clocks;
+        this.digests = digests;
         this.chooser = chooser;
         this.metrics = metrics;
         this.monitor = monitor;
@@ -155,6 +158,13 @@
     private void record(Pick pick, LoadHeader load, long sent) {
         chooser.answered(pick, load, sent);
         clocks.arrived(pick.candidate().node().id(), load);
+        load.digest()
+                .ifPresent(
+                        digest ->
+                                digests.arrived(
+                                        pick.candidate().target().service(),
+                                        pick.candidate().target().id(),
+                                        digest));
     }
 
     /** A caller that went away or sent no complete body says nothing about the path. */
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -21,6 +21,7 @@
 import org.azureshed.admission.TicketResult;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
+import org.azureshed.ejection.HostMeter;
 import org.azureshed.idempotency.KeyTiming;
 import org.azureshed.idempotency.PermitClock;
 import org.azureshed.idempotency.PermitClock.StartBy;
@@ -49,6 +50,7 @@
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
     private final HostClock clock;
+    private final HostMeter meter;
     private final ForwardClient client;
     private final PermitClock permits = new PermitClock(KeyTiming.STANDARD);
 
@@ -58,7 +60,9 @@
             Admission admission,
             FleetMetrics metrics,
             ExchangeMonitor monitor,
-            HostClock clock) {
+            HostClock clock,
+            HostMeter meter) {
+        this.meter = meter;
         this.control = control;
         this.admission = admission;
         this.metrics = metrics;
@@ -177,6 +181,18 @@
             forwarded.setHeader(InternalHeaders.START_BY_EPOCH_MS, deadline.get());
         }
         try (InFlight inFlight = monitor.watch(forwarded, call.request())) {
+            return measure(call, forwarded, body, inFlight);
+        }
+    }
+
+    /** Sends a request and records its service time at the target. */
+    private TicketResult measure(
+            Call call, CancellableRequest forwarded, RequestBody body, InFlight inFlight)
+            throws IOException {
+        String className = call.admissionRequest().requestClass().name();
+        long token = meter.started(call.target().id(), className, nowMicros());
+        HostMeter.Result measured = HostMeter.Result.ERROR;
+        try {
             ForwardResult result =
                     client.send(
                             call.target().address(),
@@ -185,14 +201,49 @@
                             false,
                             call.timeLeft(),
                             inFlight);
-            return switch (result) {
-                case ForwardResult.Failed failed -> fail(call, failed);
-                case ForwardResult.Answer(ClassicHttpResponse answer) ->
-                        relay(call, answer, inFlight);
-            };
+            switch (result) {
+                case ForwardResult.Failed failed -> {
+                    measured = measured(failed.outcome());
+                    // Recorded before the answer is written, so that a slow caller adds nothing.
+                    meter.finished(token, measured, nowMicros());
+                    return fail(call, failed);
+                }
+                case ForwardResult.Answer(ClassicHttpResponse answer) -> {
+                    boolean shed = shed(answer);
+                    TicketResult relayed = relay(call, answer, inFlight);
+                    measured =
+                            shed
+                                    ? HostMeter.Result.NOT_RUN
+                                    : relayed == TicketResult.SUCCEEDED
+                                            ? HostMeter.Result.OK
+                                            : HostMeter.Result.ERROR;
+                    return relayed;
+                }
+            }
+        } catch (IOException broken) {
+            // A failed write to the entry side cannot be told from a failed read of the target.
+            measured = HostMeter.Result.CANCELLED;
+            throw broken;
+        } finally {
+            meter.finished(token, measured, nowMicros());
         }
     }
 
+    private static HostMeter.Result measured(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Completed completed -> HostMeter.Result.OK;
+            case Outcome.NotRun notRun -> HostMeter.Result.NOT_RUN;
+            case Outcome.Unknown(UnknownCause cause) ->
+                    cause == UnknownCause.CALLER_GONE || cause == UnknownCause.REQUEST_ABORTED
+                            ? HostMeter.Result.CANCELLED
+                            : HostMeter.Result.ERROR;
+        };
+    }
+
+    private static long nowMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+
     /** Checks a keyed request as late as possible and sets the deadline for the target's check. */
     private Either<RefusalReason, Long> targetDeadline(String header) {
         // The VM's clock is read first, so that a pause between the reads makes the rest shorter.
@@ -253,7 +304,10 @@
                                                                 clock.bootId(),
                                                                 clock.millis(),
                                                                 report,
-                                                                call.spentMicros())
+                                                                call.spentMicros(),
+                                                                meter.digest(
+                                                                        call.target().id(),
+                                                                        nowMicros()))
                                                         .encode()));
     }
 
--- a/src/main/java/org/azureshed/proxy/LoadHeader.java
+++ b/src/main/java/org/azureshed/proxy/LoadHeader.java
@@ -6,24 +6,38 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.admission.LoadReport;
+import org.azureshed.ejection.TargetDigest;
 import org.azureshed.model.TargetState;
 
 /**
  * Value of the {@code Azureshed-Load} header, for example {@code
  * boot=1700000000000;clock=5123;in=2;long=1;slots=4;queued=0;state=ready;median=8000;errors=0.0;n=20;spent=9100}.
+ * The digest follows as {@code ;digest=} with {@code |} between its parts, because {@code ;} parts
+ * the fields of this header.
  *
  * @param bootId incarnation of the host's process
  * @param clockMillis the host's monotonic clock in milliseconds
  * @param report load of the target
  * @param spentMicros time that the host side itself spent on the request until the head of its
  *     answer, in microseconds
+ * @param digest what the host measured at the target; empty before the first request ended
  */
-record LoadHeader(long bootId, long clockMillis, LoadReport report, long spentMicros) {
+record LoadHeader(
+        long bootId,
+        long clockMillis,
+        LoadReport report,
+        long spentMicros,
+        Optional<TargetDigest> digest) {
     long spentNanos() {
         return TimeUnit.MICROSECONDS.toNanos(spentMicros);
     }
 
     String encode() {
+        return encodeReport()
+                + digest.map(known -> ";digest=" + known.encode().replace(';', '|')).orElse("");
+    }
+
+    private String encodeReport() {
         return "boot=%d;clock=%d;in=%d;long=%d;slots=%d;queued=%d;state=%s;median=%d;errors=%s;n=%d;spent=%d"
                 .formatted(
                         bootId,
@@ -63,7 +77,9 @@
                             Long.parseLong(fields.get("boot")),
                             Long.parseLong(fields.get("clock")),
                             report,
-                            Long.parseLong(fields.get("spent"))));
+                            Long.parseLong(fields.get("spent")),
+                            Optional.ofNullable(fields.get("digest"))
+                                    .flatMap(text -> TargetDigest.parse(text.replace('|', ';')))));
         } catch (IllegalArgumentException | NullPointerException e) {
             return Optional.empty();
         }
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.Preset;
+import org.azureshed.model.TargetId;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.preset.ChangeRequest;
@@ -69,11 +70,7 @@
     /** Announces a target that listens on a port of this machine, and waits for the node. */
     public void announce(NodeSettings node, String id, String service, int port, int slots)
             throws Exception {
-        NodeApplication application =
-                nodes.stream()
-                        .filter(candidate -> candidate.settings().equals(node))
-                        .findFirst()
-                        .orElseThrow();
+        NodeApplication application = application(node);
         TargetAnnouncement announcement =
                 new TargetAnnouncement(id, service, "127.0.0.1:" + port, slots, "ready");
         announcer.scheduleAtFixedRate(
@@ -83,6 +80,18 @@
         }
     }
 
+    /** Weight of a target in the view of a node; 0 if it is ejected. */
+    public int weightPercent(NodeSettings node, TargetId target) {
+        return application(node).snapshot().weightPercent(target);
+    }
+
+    private NodeApplication application(NodeSettings node) {
+        return nodes.stream()
+                .filter(candidate -> candidate.settings().equals(node))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static boolean knows(NodeApplication node, String service, String target) {
         return node.snapshot().candidatesOf(service).stream()
                 .anyMatch(candidate -> candidate.target().id().value().equals(target));
