Refuse requests that crash targets

Cause: the poison reducer ran in the control loop, but no node computed fingerprints, noticed dead targets or spread suspects, so a request that crashes its target could be sent again through any entry node.

Change: the entry side sends the fingerprint, refuses the request after the second crash (422, poison-request), retries no suspect and reports completions of suspects. The host side keeps CrashWatch; a target counts as dead if a connection is lost and it refuses a new one afterwards, or if its announcement expires with requests in flight. It tells the entry side in Azureshed-Target-Crashed, so that the first sending is not retried. Suspects travel by gossip in the existing PoisonSuspect message; the id of a crash is unique in the fleet, so the reporter stays empty. A first tick is submitted at the start: without it entries that arrived earlier expired with the first tick, as PoisonInFleetTest showed.

Conclusion: in the fleet in process a poison request kills two targets of five, the third sending is refused at a third entry node, and the other targets stay in service (PoisonInFleetTest).

--- a/src/main/java/org/azureshed/node/AdminResource.java
+++ b/src/main/java/org/azureshed/node/AdminResource.java
@@ -19,6 +19,7 @@
 import org.azureshed.control.Snapshot;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
+import org.azureshed.poison.CrashWatch;
 import org.azureshed.routing.Candidate;
 import org.azureshed.telemetry.EventLog;
 
@@ -30,11 +31,13 @@
     private static final int BAD_REQUEST = 400;
 
     private final ControlLoop control;
+    private final CrashWatch crashes;
     private final ObjectMapper mapper = new ObjectMapper();
 
     @Inject
-    AdminResource(ControlLoop control) {
+    AdminResource(ControlLoop control, CrashWatch crashes) {
         this.control = control;
+        this.crashes = crashes;
     }
 
     /**
@@ -68,6 +71,8 @@
     @DELETE
     @Path("/targets/{id}")
     public Response withdraw(@PathParam("id") String id) {
+        // A target that leaves in order has not died of the requests that still run.
+        crashes.withdrawn(new TargetId(id));
         control.submit(new ControlEvent.TargetWithdrawn(new TargetId(id)));
         return Response.noContent().build();
     }
--- a/src/main/java/org/azureshed/node/HealthShell.java
+++ b/src/main/java/org/azureshed/node/HealthShell.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.ejection.EjectionEffect;
@@ -21,14 +22,21 @@
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
 import org.azureshed.platform.ObjectStore;
+import org.azureshed.poison.CrashWatch;
+import org.azureshed.poison.PoisonEffect;
+import org.azureshed.poison.PoisonEvent;
+import org.azureshed.poison.PoisonView;
+import org.azureshed.poison.Suspects;
 import org.azureshed.telemetry.EventLog;
 
-/** Connects the ejection of targets to the platform, to gossip and to the traffic threads. */
+/** Connects ejection and poison requests to the platform, to gossip and to the traffic threads. */
 @Singleton
 final class HealthShell {
     private final Provider<ControlLoop> control;
     private final EjectionShell ejection;
     private final HostMeter meter;
+    private final CrashWatch crashes;
+    private final Suspects suspects;
     private Set<TargetId> hosted = Set.of();
 
     @Inject
@@ -36,23 +44,40 @@
             ObjectStore store,
             HttpTargetProber prober,
             HostMeter meter,
+            CrashWatch crashes,
+            Suspects suspects,
             Provider<ControlLoop> control) {
         this.control = control;
         this.meter = meter;
+        this.crashes = crashes;
+        this.suspects = suspects;
         this.ejection =
                 new EjectionShell(
                         store,
                         prober,
                         Thread::startVirtualThread,
                         System::currentTimeMillis,
-                        event -> control.get().submit(new ControlEvent.Ejection(event)));
+                        this::submit);
     }
 
-    /** Starts the ticks of ejection. */
+    /** Starts the ticks of ejection and poison. To be called before events can arrive. */
     void start() {
+        // Entries that arrive before the first tick would expire with it.
+        submit(new PoisonEvent.Tick(TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
         ejection.start();
     }
 
+    private void submit(EjectionEvent event) {
+        control.get().submit(new ControlEvent.Ejection(event));
+        if (event instanceof EjectionEvent.Tick(long now, long seed)) {
+            submit(new PoisonEvent.Tick(now));
+        }
+    }
+
+    private void submit(PoisonEvent event) {
+        control.get().submit(new ControlEvent.Poison(event));
+    }
+
     /** Stops the ticks. */
     void close() {
         ejection.close();
@@ -77,12 +102,39 @@
         }
     }
 
+    /**
+     * Carries out an effect. Runs on the control thread and does not block.
+     *
+     * @param effect the effect
+     */
+    void carryOut(PoisonEffect effect) {
+        switch (effect) {
+            case PoisonEffect.PublishView(PoisonView view) -> {
+                suspects.publish(view);
+                EventLog.info("poison_suspects_changed")
+                        .with("suspects", view.crashes().size())
+                        .with("held", view.held().size())
+                        .write();
+            }
+            case PoisonEffect.Spread(var entries) -> spread(SuspectMessages.encode(entries));
+            case PoisonEffect.CrashLoop(String service, TargetId target, int count) ->
+                    EventLog.warning("target_crash_loop")
+                            .with("service", service)
+                            .with("target", target)
+                            .with("crashes", count)
+                            .write();
+        }
+    }
+
     /**
      * Takes records that gossip brought.
      *
      * @param deltas the records
      */
     void heard(GossipDeltas deltas) {
+        if (deltas.getSuspectsCount() > 0) {
+            submit(new PoisonEvent.SuspectsHeard(SuspectMessages.decode(deltas)));
+        }
         for (EjectionNotice notice : deltas.getEjectionsList()) {
             EjectionRecordCodec.decode(notice.getRecord().toByteArray())
                     .filterOrElse(
@@ -99,8 +151,7 @@
     }
 
     private void heard(EjectionRecord record, long version) {
-        control.get()
-                .submit(new ControlEvent.Ejection(new EjectionEvent.RecordHeard(record, version)));
+        submit(new EjectionEvent.RecordHeard(record, version));
     }
 
     /**
@@ -114,6 +165,10 @@
         for (TargetId known : hosted) {
             if (!present.contains(known)) {
                 meter.forget(known);
+                long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+                crashes.died(known, now)
+                        .filter(report -> !report.inFlight().isEmpty())
+                        .ifPresent(report -> submit(new PoisonEvent.TargetCrashed(report)));
             }
         }
         hosted = present;
--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -10,6 +10,8 @@
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
 import org.azureshed.model.NodeInfo;
+import org.azureshed.poison.PoisonView;
+import org.azureshed.poison.Suspects;
 import org.azureshed.proxy.TrafficServlet;
 import org.azureshed.telemetry.EventLog;
 import org.eclipse.jetty.server.Server;
@@ -28,6 +30,7 @@
     private volatile Server server;
     private volatile ControlLoop control;
     private volatile NodeShell shell;
+    private volatile Suspects suspects;
 
     /**
      * Creates a node that is not running yet.
@@ -86,6 +89,7 @@
         environment.lifecycle().addServerLifecycleListener(shutdown::install);
         control = injector.getInstance(ControlLoop.class);
         control.start();
+        suspects = injector.getInstance(Suspects.class);
         shell = injector.getInstance(NodeShell.class);
         shell.start();
         logStart(injector.getInstance(NodeInfo.class));
@@ -95,6 +99,10 @@
         return settings;
     }
 
+    PoisonView suspects() {
+        return suspects.view();
+    }
+
     Snapshot snapshot() {
         return control.snapshot();
     }
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -16,6 +16,8 @@
 import org.azureshed.model.NodeInfo;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
+import org.azureshed.poison.CrashWatch;
+import org.azureshed.poison.Suspects;
 
 /** Builds the objects of one node. */
 final class NodeModule extends AbstractModule {
@@ -61,6 +63,18 @@
         return new HostMeter();
     }
 
+    @Provides
+    @Singleton
+    Suspects suspects() {
+        return new Suspects();
+    }
+
+    @Provides
+    @Singleton
+    CrashWatch crashWatch(NodeInfo self) {
+        return new CrashWatch(self.id(), self.incarnation());
+    }
+
     @Provides
     @Singleton
     KeyClaims keyClaims(NodeInfo self, NodeShell shell) {
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -111,13 +111,13 @@
      * @throws IllegalStateException if the control port cannot be opened
      */
     void start() {
+        health.start();
         fleet.start(self.control())
                 .peekLeft(
                         (TransportError error) -> {
                             throw new IllegalStateException(error.message());
                         });
         keys.start();
-        health.start();
         startThread("ejection-watcher", ejections::run);
         startThread("self-publisher", publisher::run);
         startThread("node-watcher", nodes::run);
@@ -149,9 +149,7 @@
             case Effect.Distribution(var content) -> distribution.carryOut(content);
             case Effect.Keys(var key) -> keys.carryOut(key);
             case Effect.Ejection(var ejection) -> health.carryOut(ejection);
-            case Effect.Poison(var poison) -> {
-                // Taken by the entry and host sides once they compute fingerprints.
-            }
+            case Effect.Poison(var poison) -> health.carryOut(poison);
         }
     }
 
--- a/src/main/java/org/azureshed/poison/PoisonState.java
+++ b/src/main/java/org/azureshed/poison/PoisonState.java
@@ -29,7 +29,7 @@
     public static final int MAX_ENTRIES = 64;
 
     /** Lifetime of an entry. */
-    static final long LIFETIME_MILLIS = 600_000;
+    public static final long LIFETIME_MILLIS = 600_000;
 
     /**
      * A request in a crash.
@@ -84,10 +84,28 @@
                                         key.fingerprint(),
                                         key.crashId(),
                                         entry.cleared(),
-                                        entry.expiresMillis() - nowMillis)));
+                                        Math.min(
+                                                entry.expiresMillis() - nowMillis,
+                                                LIFETIME_MILLIS))));
         return result;
     }
 
+    /**
+     * The entries that another state lacks or has not cleared.
+     *
+     * @param before the other state
+     * @return the entries, as gossip sends them
+     */
+    public java.util.List<SuspectEntry> changedSince(PoisonState before) {
+        java.util.List<SuspectEntry> changed = new ArrayList<>(gossip());
+        changed.removeIf(
+                entry ->
+                        before.entries
+                                .get(new Key(entry.crashId(), entry.fingerprint()))
+                                .exists(old -> old.cleared() == entry.cleared()));
+        return changed;
+    }
+
     /**
      * The view for traffic threads.
      *
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -34,6 +34,7 @@
     private final TargetChooser chooser;
     private final HostClocks clocks;
     private final DigestFeed digests;
+    private final EntrySuspects suspects;
     private final HostPermits permits;
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
@@ -45,11 +46,13 @@
             TargetChooser chooser,
             HostClocks clocks,
             DigestFeed digests,
+            EntrySuspects suspects,
             FleetMetrics metrics,
             ExchangeMonitor monitor,
             NodeInfo self) {
         this.clocks = clocks;
         this.digests = digests;
+        this.suspects = suspects;
         this.chooser = chooser;
         this.metrics = metrics;
         this.monitor = monitor;
@@ -68,6 +71,10 @@
      * @throws IOException if the answer broke off after its head was sent to the caller
      */
     Outcome dispatch(Call call) throws IOException {
+        EntrySuspects.Followed followed = suspects.follow(call);
+        if (followed.refused()) {
+            return new Outcome.NotRun(RefusalReason.POISON_REQUEST);
+        }
         chooser.requestStarted(call);
         Set<TargetId> tried = new HashSet<>();
         Outcome last = new Outcome.NotRun(RefusalReason.NO_TARGET);
@@ -86,8 +93,9 @@
                 metrics.retried(retryReason(last));
             }
             tried.add(pick.get().candidate().target().id());
-            last = attempt(call, pick.get(), attempt);
-            if (!retryable(call, last)) {
+            last = attempt(call, followed, pick.get(), attempt);
+            followed.ended(last);
+            if (!followed.mayRetry() || !retryable(call, last)) {
                 return last;
             }
         }
@@ -113,10 +121,12 @@
         };
     }
 
-    private Outcome attempt(Call call, Pick pick, int attempt) throws IOException {
+    private Outcome attempt(Call call, EntrySuspects.Followed followed, Pick pick, int attempt)
+            throws IOException {
         Candidate candidate = pick.candidate();
         String exchange = exchangeIds.next();
         CancellableRequest request = request(call, candidate, exchange, attempt);
+        request.setHeader(InternalHeaders.FINGERPRINT, followed.fingerprint());
         if (call.permit().isPresent()) {
             Either<RefusalReason, StartBy> startBy =
                     permits.startBy(call.permit().get(), candidate.node());
@@ -140,6 +150,9 @@
                 case ForwardResult.Answer(ClassicHttpResponse answer) -> {
                     LoadHeader.parse(value(answer, InternalHeaders.LOAD))
                             .ifPresent(load -> record(pick, load, sent));
+                    if (!value(answer, InternalHeaders.TARGET_CRASHED).isEmpty()) {
+                        followed.targetCrashed();
+                    }
                     yield relay(call, exchange, answer, inFlight);
                 }
                 case ForwardResult.Failed(Outcome outcome, String detail) -> {
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -22,6 +22,7 @@
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
 import org.azureshed.ejection.HostMeter;
+import org.azureshed.ejection.TargetDigest;
 import org.azureshed.idempotency.KeyTiming;
 import org.azureshed.idempotency.PermitClock;
 import org.azureshed.idempotency.PermitClock.StartBy;
@@ -31,6 +32,7 @@
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
 import org.azureshed.model.UnknownCause;
+import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
 import org.azureshed.telemetry.FleetMetrics.Side;
@@ -40,6 +42,7 @@
 final class HostHandler {
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_SERVER_ERROR = 500;
+    private static final int FULL_WEIGHT = 100;
 
     /** Treatment of a class that the preset of this node does not define (yet). */
     private static final RequestClass UNKNOWN_CLASS =
@@ -51,6 +54,8 @@
     private final ExchangeMonitor monitor;
     private final HostClock clock;
     private final HostMeter meter;
+    private final CrashDetector crashes;
+    private final DigestFeed digests;
     private final ForwardClient client;
     private final PermitClock permits = new PermitClock(KeyTiming.STANDARD);
 
@@ -61,7 +66,11 @@
             FleetMetrics metrics,
             ExchangeMonitor monitor,
             HostClock clock,
-            HostMeter meter) {
+            HostMeter meter,
+            CrashDetector crashes,
+            DigestFeed digests) {
+        this.digests = digests;
+        this.crashes = crashes;
         this.meter = meter;
         this.control = control;
         this.admission = admission;
@@ -181,7 +190,30 @@
             forwarded.setHeader(InternalHeaders.START_BY_EPOCH_MS, deadline.get());
         }
         try (InFlight inFlight = monitor.watch(forwarded, call.request())) {
+            return watch(call, forwarded, body, inFlight);
+        }
+    }
+
+    /** Sends a request, and reports it if its target dies of it. */
+    private TicketResult watch(
+            Call call, CancellableRequest forwarded, RequestBody body, InFlight inFlight)
+            throws IOException {
+        String fingerprint = header(call.request(), InternalHeaders.FINGERPRINT);
+        Optional<RefusalReason> refusal =
+                RequestFingerprint.parse(fingerprint)
+                        .flatMap(known -> crashes.begin(call.target(), call.exchange(), known));
+        if (refusal.isPresent()) {
+            addLoad(call);
+            refuse(call.response(), refusal.get(), 0);
+            return TicketResult.NOT_RUN;
+        }
+        try {
             return measure(call, forwarded, body, inFlight);
+        } catch (IOException broken) {
+            crashes.checkDead(call.target());
+            throw broken;
+        } finally {
+            crashes.end(call.target().id(), call.exchange());
         }
     }
 
@@ -206,6 +238,12 @@
                     measured = measured(failed.outcome());
                     // Recorded before the answer is written, so that a slow caller adds nothing.
                     meter.finished(token, measured, nowMicros());
+                    boolean lost =
+                            failed.outcome() instanceof Outcome.Unknown(UnknownCause cause)
+                                    && cause == UnknownCause.TARGET_CONNECTION_LOST;
+                    if (lost && crashes.connectionLost(call.target(), call.exchange())) {
+                        call.response().setHeader(InternalHeaders.TARGET_CRASHED, "true");
+                    }
                     return fail(call, failed);
                 }
                 case ForwardResult.Answer(ClassicHttpResponse answer) -> {
@@ -293,22 +331,23 @@
     }
 
     private void addLoad(Call call) {
+        TargetId target = call.target().id();
+        Optional<TargetDigest> digest = meter.digest(target, nowMicros());
+        // This node judges the readmission of its targets, and may see no answers of its own.
+        if (control.snapshot().weightPercent(target) < FULL_WEIGHT) {
+            digest.ifPresent(known -> digests.arrived(call.target().service(), target, known));
+        }
         admission
-                .report(call.target().id(), System.nanoTime())
-                .ifPresent(
+                .report(target, System.nanoTime())
+                .map(
                         report ->
-                                call.response()
-                                        .setHeader(
-                                                InternalHeaders.LOAD,
-                                                new LoadHeader(
-                                                                clock.bootId(),
-                                                                clock.millis(),
-                                                                report,
-                                                                call.spentMicros(),
-                                                                meter.digest(
-                                                                        call.target().id(),
-                                                                        nowMicros()))
-                                                        .encode()));
+                                new LoadHeader(
+                                        clock.bootId(),
+                                        clock.millis(),
+                                        report,
+                                        call.spentMicros(),
+                                        digest))
+                .ifPresent(load -> call.response().setHeader(InternalHeaders.LOAD, load.encode()));
     }
 
     private TicketResult fail(Call call, ForwardResult.Failed failed) throws IOException {
--- a/src/main/java/org/azureshed/proxy/InternalHeaders.java
+++ b/src/main/java/org/azureshed/proxy/InternalHeaders.java
@@ -44,6 +44,9 @@
     /** Fingerprint of the request's content. */
     public static final String FINGERPRINT = PREFIX + "Fingerprint";
 
+    /** Set to true by a host side if the target was found dead after the request was sent. */
+    public static final String TARGET_CRASHED = PREFIX + "Target-Crashed";
+
     /** Outcome in an answer: completed, not-run or unknown. */
     public static final String OUTCOME = PREFIX + "Outcome";
 
