--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -9,12 +9,15 @@
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
 import org.azureshed.distribution.ContentStore;
+import org.azureshed.ejection.HostMeter;
 import org.azureshed.idempotency.KeyClaims;
 import org.azureshed.idempotency.KeyTiming;
 import org.azureshed.idempotency.NodeInstance;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
+import org.azureshed.poison.CrashWatch;
+import org.azureshed.poison.Suspects;
 
 /** Builds the objects of one node. */
 final class NodeModule extends AbstractModule {
@@ -54,6 +57,24 @@
         return new Admission();
     }
 
+    @Provides
+    @Singleton
+    HostMeter hostMeter() {
+        return new HostMeter();
+    }
+
+    @Provides
+    @Singleton
+    Suspects suspects() {
+        return new Suspects();
+    }
+
+    @Provides
+    @Singleton
+    CrashWatch crashWatch(NodeInfo self) {
+        return new CrashWatch(self.id(), self.incarnation());
+    }
+
     @Provides
     @Singleton
     KeyClaims keyClaims(NodeInfo self, NodeShell shell) {
--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -21,6 +21,8 @@
 import org.azureshed.admission.TicketResult;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
+import org.azureshed.ejection.HostMeter;
+import org.azureshed.ejection.TargetDigest;
 import org.azureshed.idempotency.KeyTiming;
 import org.azureshed.idempotency.PermitClock;
 import org.azureshed.idempotency.PermitClock.StartBy;
@@ -30,6 +32,7 @@
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
 import org.azureshed.model.UnknownCause;
+import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.telemetry.FleetMetrics;
 import org.azureshed.telemetry.FleetMetrics.Side;
@@ -39,6 +42,7 @@
 final class HostHandler {
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_SERVER_ERROR = 500;
+    private static final int FULL_WEIGHT = 100;
 
     /** Treatment of a class that the preset of this node does not define (yet). */
     private static final RequestClass UNKNOWN_CLASS =
@@ -49,6 +53,9 @@
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
     private final HostClock clock;
+    private final HostMeter meter;
+    private final CrashDetector crashes;
+    private final DigestFeed digests;
     private final ForwardClient client;
     private final PermitClock permits = new PermitClock(KeyTiming.STANDARD);
 
@@ -58,7 +65,13 @@
             Admission admission,
             FleetMetrics metrics,
             ExchangeMonitor monitor,
-            HostClock clock) {
+            HostClock clock,
+            HostMeter meter,
+            CrashDetector crashes,
+            DigestFeed digests) {
+        this.digests = digests;
+        this.crashes = crashes;
+        this.meter = meter;
         this.control = control;
         this.admission = admission;
         this.metrics = metrics;
@@ -177,6 +190,41 @@
             forwarded.setHeader(InternalHeaders.START_BY_EPOCH_MS, deadline.get());
         }
         try (InFlight inFlight = monitor.watch(forwarded, call.request())) {
+            return watch(call, forwarded, body, inFlight);
+        }
+    }
+
+    /** Sends a request, and reports it if its target dies of it. */
+    private TicketResult watch(
+            Call call, CancellableRequest forwarded, RequestBody body, InFlight inFlight)
+            throws IOException {
+        String fingerprint = header(call.request(), InternalHeaders.FINGERPRINT);
+        Optional<RefusalReason> refusal =
+                RequestFingerprint.parse(fingerprint)
+                        .flatMap(known -> crashes.begin(call.target(), call.exchange(), known));
+        if (refusal.isPresent()) {
+            addLoad(call);
+            refuse(call.response(), refusal.get(), 0);
+            return TicketResult.NOT_RUN;
+        }
+        try {
+            return measure(call, forwarded, body, inFlight);
+        } catch (IOException broken) {
+            crashes.checkDead(call.target());
+            throw broken;
+        } finally {
+            crashes.end(call.target().id(), call.exchange());
+        }
+    }
+
+    /** Sends a request and records its service time at the target. */
+    private TicketResult measure(
+            Call call, CancellableRequest forwarded, RequestBody body, InFlight inFlight)
+            throws IOException {
+        String className = call.admissionRequest().requestClass().name();
+        long token = meter.started(call.target().id(), className, nowMicros());
+        HostMeter.Result measured = HostMeter.Result.ERROR;
+        try {
             ForwardResult result =
                     client.send(
                             call.target().address(),
@@ -185,14 +233,55 @@
                             false,
                             call.timeLeft(),
                             inFlight);
-            return switch (result) {
-                case ForwardResult.Failed failed -> fail(call, failed);
-                case ForwardResult.Answer(ClassicHttpResponse answer) ->
-                        relay(call, answer, inFlight);
-            };
+            switch (result) {
+                case ForwardResult.Failed failed -> {
+                    measured = measured(failed.outcome());
+                    // Recorded before the answer is written, so that a slow caller adds nothing.
+                    meter.finished(token, measured, nowMicros());
+                    boolean lost =
+                            failed.outcome() instanceof Outcome.Unknown(UnknownCause cause)
+                                    && cause == UnknownCause.TARGET_CONNECTION_LOST;
+                    if (lost && crashes.connectionLost(call.target(), call.exchange())) {
+                        call.response().setHeader(InternalHeaders.TARGET_CRASHED, "true");
+                    }
+                    return fail(call, failed);
+                }
+                case ForwardResult.Answer(ClassicHttpResponse answer) -> {
+                    boolean shed = shed(answer);
+                    TicketResult relayed = relay(call, answer, inFlight);
+                    measured =
+                            shed
+                                    ? HostMeter.Result.NOT_RUN
+                                    : relayed == TicketResult.SUCCEEDED
+                                            ? HostMeter.Result.OK
+                                            : HostMeter.Result.ERROR;
+                    return relayed;
+                }
+            }
+        } catch (IOException broken) {
+            // A failed write to the entry side cannot be told from a failed read of the target.
+            measured = HostMeter.Result.CANCELLED;
+            throw broken;
+        } finally {
+            meter.finished(token, measured, nowMicros());
         }
     }
 
+    private static HostMeter.Result measured(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Completed completed -> HostMeter.Result.OK;
+            case Outcome.NotRun notRun -> HostMeter.Result.NOT_RUN;
+            case Outcome.Unknown(UnknownCause cause) ->
+                    cause == UnknownCause.CALLER_GONE || cause == UnknownCause.REQUEST_ABORTED
+                            ? HostMeter.Result.CANCELLED
+                            : HostMeter.Result.ERROR;
+        };
+    }
+
+    private static long nowMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+
     /** Checks a keyed request as late as possible and sets the deadline for the target's check. */
     private Either<RefusalReason, Long> targetDeadline(String header) {
         // The VM's clock is read first, so that a pause between the reads makes the rest shorter.
@@ -242,19 +331,23 @@
     }
 
     private void addLoad(Call call) {
+        TargetId target = call.target().id();
+        Optional<TargetDigest> digest = meter.digest(target, nowMicros());
+        // This node judges the readmission of its targets, and may see no answers of its own.
+        if (control.snapshot().weightPercent(target) < FULL_WEIGHT) {
+            digest.ifPresent(known -> digests.arrived(call.target().service(), target, known));
+        }
         admission
-                .report(call.target().id(), System.nanoTime())
-                .ifPresent(
+                .report(target, System.nanoTime())
+                .map(
                         report ->
-                                call.response()
-                                        .setHeader(
-                                                InternalHeaders.LOAD,
-                                                new LoadHeader(
-                                                                clock.bootId(),
-                                                                clock.millis(),
-                                                                report,
-                                                                call.spentMicros())
-                                                        .encode()));
+                                new LoadHeader(
+                                        clock.bootId(),
+                                        clock.millis(),
+                                        report,
+                                        call.spentMicros(),
+                                        digest))
+                .ifPresent(load -> call.response().setHeader(InternalHeaders.LOAD, load.encode()));
     }
 
     private TicketResult fail(Call call, ForwardResult.Failed failed) throws IOException {
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -17,6 +17,7 @@
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.Preset;
+import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetState;
 import org.azureshed.platform.HttpObjectStore;
 import org.azureshed.platform.ObjectStore;
@@ -108,6 +109,23 @@
         }
     }
 
+    /** Ends the announcements of a target, as if its process had died. */
+    public void stopAnnouncing(String id) {
+        announcements.remove(id);
+    }
+
+    /** Crashes of the worst suspect in the view of a node. */
+    public int crashes(NodeSettings node) {
+        return application(node).suspects().crashes().values().stream()
+                .max(Integer::compare)
+                .orElse(0);
+    }
+
+    /** Weight of a target in the view of a node; 0 if it is ejected. */
+    public int weightPercent(NodeSettings node, TargetId target) {
+        return application(node).snapshot().weightPercent(target);
+    }
+
     /** The name of the preset in force on a node. */
     public String activePreset(NodeSettings node) {
         return application(node).snapshot().active().orElseThrow().preset().name();
