--- a/src/main/java/org/azureshed/proxy/HostHandler.java
+++ b/src/main/java/org/azureshed/proxy/HostHandler.java
@@ -176,8 +176,7 @@
     }
 
     private TicketResult forward(Call call, RequestBody body) throws IOException {
-        CancellableRequest forwarded =
-                Requests.copy(call.request(), name -> !name.equals(InternalHeaders.START_BY));
+        CancellableRequest forwarded = Requests.copy(call.request(), HostHandler::reachesTarget);
         forwarded.setHeader(InternalHeaders.DEADLINE_MS, call.timeLeft().toMillis());
         String startBy = call.request().getHeader(InternalHeaders.START_BY);
         if (startBy != null) {
@@ -282,6 +281,12 @@
         return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
     }
 
+    /** Headers that only concern the host side are not passed on. */
+    private static boolean reachesTarget(String header) {
+        return !header.equalsIgnoreCase(InternalHeaders.START_BY)
+                && !header.equalsIgnoreCase(InternalHeaders.FINGERPRINT);
+    }
+
     /** Checks a keyed request as late as possible and sets the deadline for the target's check. */
     private Either<RefusalReason, Long> targetDeadline(String header) {
         // The VM's clock is read first, so that a pause between the reads makes the rest shorter.
