Share one watcher of a kind and tell peers before a node exits

Cause: NodeWatcher and EjectionWatcher held the same loop; peers of a stopped node found out by failed pings; claims were logged under the route's id. Change: KindWatcher; SelfLeaving is sent before the exit; claims carry an exchange id.

--- a/src/main/java/org/azureshed/node/NodeShutdown.java
+++ b/src/main/java/org/azureshed/node/NodeShutdown.java
@@ -9,6 +9,7 @@
 import org.azureshed.admission.Admission;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
+import org.azureshed.membership.MembershipEvent;
 import org.azureshed.proxy.ActiveRequests;
 import org.azureshed.telemetry.EventLog;
 import org.eclipse.jetty.server.Connector;
@@ -32,8 +33,11 @@
 
     private static final long PROGRESS_LOG_MILLIS = 10_000;
 
-    /** Answers that are complete for the servlet may still be in the server's buffers. */
-    private static final long FLUSH_MILLIS = 200;
+    /**
+     * Answers that are complete for the servlet may still be in the server's buffers, and the
+     * message that the node leaves has to be sent.
+     */
+    private static final long FLUSH_MILLIS = 300;
 
     private final ControlLoop control;
     private final Admission admission;
@@ -72,6 +76,7 @@
             while (!requests.awaitIdle(PROGRESS_LOG_MILLIS)) {
                 EventLog.info("node_waiting").with("requests", requests.count()).write();
             }
+            control.submit(new ControlEvent.Membership(new MembershipEvent.SelfLeaving()));
             TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
             publisher.withdraw();
             server.stop();
--- a/src/main/java/org/azureshed/node/NodeWatcher.java
+++ b/src/main/java/org/azureshed/node/NodeWatcher.java
@@ -1,20 +1,16 @@
 package org.azureshed.node;
 
-import io.vavr.control.Either;
 import jakarta.inject.Inject;
 import jakarta.inject.Provider;
 import jakarta.inject.Singleton;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
 import org.azureshed.platform.Listing;
 import org.azureshed.platform.ObjectStore;
-import org.azureshed.platform.StoreError;
 import org.azureshed.platform.StoredObject;
 import org.azureshed.telemetry.EventLog;
 
@@ -23,68 +19,34 @@
 final class NodeWatcher {
     static final String KIND = "node";
 
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
-    private static final long RETRY_MILLIS = 1_000;
-
-    private final ObjectStore store;
     private final Provider<ControlLoop> control;
-    private final RelayRole relay;
+    private final KindWatcher watcher;
     private final NodeInfoCodec codec = new NodeInfoCodec();
 
     @Inject
     NodeWatcher(ObjectStore store, Provider<ControlLoop> control, RelayRole relay) {
-        this.relay = relay;
-        this.store = store;
         this.control = control;
+        this.watcher = new KindWatcher(KIND, store, relay, this::listed, this::changed);
     }
 
     /** Follows changes until the thread is interrupted. */
     void run() {
-        Optional<Long> version = Optional.empty();
-        boolean listed = false;
-        try {
-            while (!Thread.currentThread().isInterrupted()) {
-                // Only relays go on reading after the first list; the others learn from gossip.
-                boolean waited = listed && relay.await();
-                version = waited || version.isEmpty() ? list() : watch(version.get());
-                listed |= version.isPresent();
-                if (version.isEmpty()) {
-                    Thread.sleep(RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        watcher.run();
     }
 
-    private Optional<Long> list() {
-        Either<StoreError, Listing> result = store.list(KIND);
-        if (result.isLeft()) {
-            logFailure("node_list_failed", result.getLeft());
-            return Optional.empty();
-        }
+    private void listed(Listing listing) {
         List<NodeInfo> nodes =
-                result.get().objects().stream().flatMap(o -> decode(o).stream()).toList();
+                listing.objects().stream().flatMap(object -> decode(object).stream()).toList();
         control.get().submit(new ControlEvent.NodesListed(nodes));
-        return Optional.of(result.get().version());
     }
 
-    private Optional<Long> watch(long since) {
-        Either<StoreError, Listing> result = store.watch(KIND, since, WATCH_TIMEOUT);
-        if (result.isLeft()) {
-            logFailure("node_watch_failed", result.getLeft());
-            return Optional.empty();
+    private void changed(StoredObject object) {
+        if (object.deleted()) {
+            NodeId id = new NodeId(object.key().name());
+            control.get().submit(new ControlEvent.NodeDeleted(id));
+        } else {
+            decode(object).ifPresent(node -> control.get().submit(new ControlEvent.NodeSeen(node)));
         }
-        for (StoredObject object : result.get().objects()) {
-            if (object.deleted()) {
-                NodeId id = new NodeId(object.key().name());
-                control.get().submit(new ControlEvent.NodeDeleted(id));
-            } else {
-                decode(object)
-                        .ifPresent(node -> control.get().submit(new ControlEvent.NodeSeen(node)));
-            }
-        }
-        return Optional.of(result.get().version());
     }
 
     private Optional<NodeInfo> decode(StoredObject object) {
@@ -97,8 +59,4 @@
                                         .write())
                 .toJavaOptional();
     }
-
-    private static void logFailure(String event, StoreError error) {
-        EventLog.warning(event).with("error", error.message()).write();
-    }
 }
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -72,6 +72,15 @@
         this.exchangeIds = new ExchangeIds(self);
     }
 
+    /**
+     * Makes an id for an attempt.
+     *
+     * @return an id that is unique in the fleet
+     */
+    String nextExchangeId() {
+        return exchangeIds.next();
+    }
+
     /**
      * Runs a request. A completed answer has been written to the caller; any other outcome has not.
      *
--- a/src/main/java/org/azureshed/proxy/KeyedRequests.java
+++ b/src/main/java/org/azureshed/proxy/KeyedRequests.java
@@ -54,7 +54,7 @@
                         call.route().id(),
                         keys.getFirst(),
                         fingerprint(call),
-                        call.route().id(),
+                        dispatcher.nextExchangeId(),
                         call.requestClass().deadlineMillis());
         if (decision.isLeft()) {
             return new Outcome.NotRun(decision.getLeft());
