--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -122,7 +122,7 @@
 
     /**
      * Whether the attempt took nothing from a target, so that a retry cannot multiply load. Without
-     * this rule the budget of 10% refused half of the requests after one of two nodes was killed.
+     * this rule the budget of 10% refused requests after one of two nodes was killed.
      */
     private static boolean addsNoLoad(Outcome outcome) {
         return outcome instanceof Outcome.NotRun(RefusalReason reason)
