Probe paths whose host side keeps a request waiting

A path turned bad only after three consecutive timeouts, each of a request's whole deadline (5 s), and a bad path was probed by callers' requests. With two callers a host that is frozen for 8 s could get both of their requests twice, so neither reached the other target. Ruled out: the slow machine alone; the rule allows this order of choices on any machine.

Change: a request that has waited 1 s for the head of its answer makes the entry side ask the host side for its clock, which needs no target. Without an answer within 1 s the path is bad at once, and waiting requests that may run again are cancelled (new cause node-silent) and sent to another target. Bad paths are probed in the same way after their backoff, no longer by callers' requests; a service without idempotent routes could never probe. The host side's deadline ends up to 50 ms before the entry side's, so that a slow target is reported by its host and not blamed on the path. State of nodes that left the fleet is dropped; nothing called retain before.

LimitsTest: the test of probing by requests is replaced by tests of the new rule, including that answers to requests do not end a backoff. HostLossIT is stricter: with a paused host all pages have to succeed; before, a typed failure was enough.

--- a/src/main/java/org/azureshed/control/Snapshot.java
+++ b/src/main/java/org/azureshed/control/Snapshot.java
@@ -39,6 +39,16 @@
         return nodes.size() + 1;
     }
 
+    /**
+     * Finds a node.
+     *
+     * @param id any node, this one included
+     * @return its record, or empty if it is not known
+     */
+    public Optional<NodeInfo> node(NodeId id) {
+        return id.equals(self.id()) ? Optional.of(self) : nodes.get(id).toJavaOptional();
+    }
+
     /**
      * The control address of a node.
      *
@@ -46,9 +56,7 @@
      * @return its address, or empty if the node is not known
      */
     public Optional<Endpoint> controlAddress(NodeId id) {
-        return id.equals(self.id())
-                ? Optional.of(self.control())
-                : nodes.get(id).map(NodeInfo::control).toJavaOptional();
+        return node(id).map(NodeInfo::control);
     }
 
     /**
--- a/src/main/java/org/azureshed/model/UnknownCause.java
+++ b/src/main/java/org/azureshed/model/UnknownCause.java
@@ -9,6 +9,8 @@
     TARGET_CONNECTION_LOST,
     /** The connection to the target's node broke after the first byte was written. */
     NODE_CONNECTION_LOST,
+    /** The target's node answered neither the request nor a probe of it. */
+    NODE_SILENT,
     /** No answer started within the deadline. */
     ANSWER_TIMEOUT,
     /** The answer carried the exchange id of another request and was dropped. */
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -18,6 +18,7 @@
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.poison.CrashWatch;
 import org.azureshed.poison.Suspects;
+import org.azureshed.routing.PathHealth;
 
 /** Builds the objects of one node. */
 final class NodeModule extends AbstractModule {
@@ -63,6 +64,12 @@
         return new HostMeter();
     }
 
+    @Provides
+    @Singleton
+    PathHealth pathHealth() {
+        return new PathHealth();
+    }
+
     @Provides
     @Singleton
     Suspects suspects() {
--- a/src/main/java/org/azureshed/proxy/AnswerWriter.java
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -130,7 +130,9 @@
      * @throws IOException if the connection fails
      */
     static void unknown(HttpServletResponse to, Outcome.Unknown unknown) throws IOException {
-        boolean timeout = unknown.cause() == UnknownCause.ANSWER_TIMEOUT;
+        boolean timeout =
+                unknown.cause() == UnknownCause.ANSWER_TIMEOUT
+                        || unknown.cause() == UnknownCause.NODE_SILENT;
         write(
                 to,
                 timeout ? GATEWAY_TIMEOUT : BAD_GATEWAY,
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -32,6 +32,11 @@
 final class Dispatcher {
     private static final int MAX_ATTEMPTS = 3;
 
+    /** Time for an answer to come back within a region, at most a tenth of what is left. */
+    private static final long ANSWER_MARGIN_MILLIS = 50;
+
+    private static final int ANSWER_MARGIN_DIVISOR = 10;
+
     private static final Set<RefusalReason> WITHOUT_LOAD =
             EnumSet.of(
                     RefusalReason.NODE_UNREACHABLE,
@@ -45,6 +50,7 @@
     private final DigestFeed digests;
     private final EntrySuspects suspects;
     private final HostPermits permits;
+    private final PathProber prober;
     private final FleetMetrics metrics;
     private final ExchangeMonitor monitor;
     private final ForwardClient client;
@@ -58,6 +64,8 @@
             EntrySuspects suspects,
             FleetMetrics metrics,
             ExchangeMonitor monitor,
+            HostPermits permits,
+            PathProber prober,
             NodeInfo self) {
         this.clocks = clocks;
         this.digests = digests;
@@ -68,7 +76,8 @@
         this.client =
                 new ForwardClient(
                         RefusalReason.NODE_UNREACHABLE, UnknownCause.NODE_CONNECTION_LOST);
-        this.permits = new HostPermits(client, clocks, monitor);
+        this.permits = permits;
+        this.prober = prober;
         this.exchangeIds = new ExchangeIds(self);
     }
 
@@ -141,13 +150,17 @@
             case Outcome.NotRun(RefusalReason reason) ->
                     reason.retryAfter() && call.body().replayable();
             case Outcome.Unknown(UnknownCause cause) ->
-                    cause != UnknownCause.CALLER_GONE
-                            && call.requestClass().idempotent()
-                            && call.permit().isEmpty()
-                            && call.body().replayable();
+                    cause != UnknownCause.CALLER_GONE && runsAgain(call);
         };
     }
 
+    /** Whether the request may be sent again although it may have run. */
+    private static boolean runsAgain(Call call) {
+        return call.requestClass().idempotent()
+                && call.permit().isEmpty()
+                && call.body().replayable();
+    }
+
     private Outcome attempt(Call call, EntrySuspects.Followed followed, Pick pick, int attempt)
             throws IOException {
         Candidate candidate = pick.candidate();
@@ -165,14 +178,7 @@
         }
         long sent = System.nanoTime();
         try (InFlight inFlight = monitor.watch(request, call.request())) {
-            ForwardResult result =
-                    client.send(
-                            candidate.node().host(),
-                            request,
-                            call.body(),
-                            call.body().large(),
-                            call.timeLeft(),
-                            inFlight);
+            ForwardResult result = send(call, candidate, request, inFlight);
             return switch (result) {
                 case ForwardResult.Answer(ClassicHttpResponse answer) -> {
                     LoadHeader.parse(value(answer, InternalHeaders.LOAD))
@@ -195,6 +201,20 @@
         }
     }
 
+    private ForwardResult send(
+            Call call, Candidate candidate, CancellableRequest request, InFlight inFlight) {
+        try (PathProber.Waiting waiting =
+                prober.waiting(candidate.node(), inFlight, runsAgain(call))) {
+            return client.send(
+                    candidate.node().host(),
+                    request,
+                    call.body(),
+                    call.body().large(),
+                    call.timeLeft(),
+                    inFlight);
+        }
+    }
+
     private void record(Pick pick, LoadHeader load, long sent) {
         chooser.answered(pick, load, sent);
         clocks.arrived(pick.candidate().node().id(), load);
@@ -223,11 +243,20 @@
         request.setHeader(InternalHeaders.ROUTE, call.route().id());
         request.setHeader(InternalHeaders.CLASS, call.requestClass().name());
         request.setHeader(InternalHeaders.ORGANISATION, call.organisation());
-        request.setHeader(InternalHeaders.DEADLINE_MS, call.timeLeft().toMillis());
+        request.setHeader(InternalHeaders.DEADLINE_MS, hostMillis(call));
         request.setHeader(InternalHeaders.ATTEMPT, attempt);
         return request;
     }
 
+    /**
+     * Deadline of the host side. It ends a little earlier than the own one, so that the host side
+     * itself reports a target that is too slow: a timeout here is blamed on the path.
+     */
+    private static long hostMillis(Call call) {
+        long left = call.timeLeft().toMillis();
+        return Math.max(0, left - Math.min(ANSWER_MARGIN_MILLIS, left / ANSWER_MARGIN_DIVISOR));
+    }
+
     private static void logFailure(
             String exchange, Candidate candidate, Outcome outcome, String detail) {
         EventLog.warning("forward_failed")
--- a/src/main/java/org/azureshed/proxy/TargetChooser.java
+++ b/src/main/java/org/azureshed/proxy/TargetChooser.java
@@ -24,12 +24,13 @@
 @Singleton
 final class TargetChooser {
     private final NodeInfo self;
-    private final PathHealth paths = new PathHealth();
+    private final PathHealth paths;
     private final Map<String, ServiceState> services = new ConcurrentHashMap<>();
 
     @Inject
-    TargetChooser(NodeInfo self) {
+    TargetChooser(NodeInfo self, PathHealth paths) {
         this.self = self;
+        this.paths = paths;
     }
 
     private record ServiceState(TargetPicker picker, RetryBudget budget) {}
@@ -74,11 +75,7 @@
         long now = System.nanoTime();
         Set<NodeId> avoided =
                 paths.avoided(
-                        candidates,
-                        snapshot::weightPercent,
-                        policy(call).floorPercent(),
-                        call.requestClass().idempotent(),
-                        now);
+                        candidates, snapshot::weightPercent, policy(call).floorPercent(), now);
         PickRequest request =
                 new PickRequest(
                         candidates,
@@ -87,10 +84,7 @@
                         avoided,
                         call.requestClass().longRunning(),
                         snapshot::weightPercent);
-        Optional<Pick> pick =
-                state(call).picker().pick(request, ThreadLocalRandom.current().nextLong(), now);
-        pick.ifPresent(chosen -> paths.started(chosen.candidate().node().id(), now));
-        return pick;
+        return state(call).picker().pick(request, ThreadLocalRandom.current().nextLong(), now);
     }
 
     /**
--- a/src/main/java/org/azureshed/routing/PathHealth.java
+++ b/src/main/java/org/azureshed/routing/PathHealth.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.TargetId;
@@ -16,9 +17,12 @@
  * This entry node's own view of its paths to other nodes. Thread-safe.
  *
  * <p>A path turns bad after {@value #BAD_AFTER} consecutive connection failures, timeouts or
- * answers that took far longer than the host side itself needed. It is avoided for a backoff with
- * jitter that doubles with each failed probe; then one idempotent request at a time probes it. It
- * is good again after {@value #GOOD_AFTER} successful probes.
+ * answers that took far longer than the host side itself needed, and at once if the host side does
+ * not answer a probe. It is avoided for a backoff with jitter that doubles with each failed probe;
+ * then the caller probes it. It is good again after {@value #GOOD_AFTER} successful probes.
+ *
+ * <p>Requests are not used as probes: on a path without answers each would cost its caller the
+ * whole deadline, and a service without idempotent routes could never probe.
  */
 public final class PathHealth {
     static final int BAD_AFTER = 3;
@@ -27,9 +31,6 @@
     private static final long BASE_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int MAX_DOUBLINGS = 5;
 
-    /** A probe without result, for example of a caller that went away, frees its place. */
-    private static final long PROBE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
-
     /** The network time of a good path is a few milliseconds within a region. */
     private static final long SLOW_PATH_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -52,7 +53,6 @@
      * @param candidates all targets of the service
      * @param weightPercent weight of a target; with weight 0 it is ejected and does not serve
      * @param floorPercent the service's floor
-     * @param idempotent whether the request may probe a path
      * @param nowNanos current time
      * @return nodes to avoid; empty in the common case of no bad path
      */
@@ -60,36 +60,68 @@
             List<Candidate> candidates,
             ToIntFunction<TargetId> weightPercent,
             int floorPercent,
-            boolean idempotent,
             long nowNanos) {
-        Set<NodeId> bad = badPaths;
-        if (bad.isEmpty()) {
+        if (badPaths.isEmpty()) {
             return Set.of();
         }
         lock.lock();
         try {
-            return avoidedLocked(candidates, weightPercent, floorPercent, idempotent, nowNanos);
+            return avoidedLocked(candidates, weightPercent, floorPercent, nowNanos);
         } finally {
             lock.unlock();
         }
     }
 
     /**
-     * Tells that a request is about to use a path, so that a probe takes the place of the probe.
+     * Starts the probes that are due. Each started probe has to end with {@link #probed}.
      *
-     * @param node the node at its end
      * @param nowNanos current time
+     * @return bad paths whose backoff has ended and that no probe is under way on
      */
-    public void started(NodeId node, long nowNanos) {
-        if (!badPaths.contains(node)) {
-            return;
+    public Set<NodeId> startProbes(long nowNanos) {
+        if (badPaths.isEmpty()) {
+            return Set.of();
         }
         lock.lock();
         try {
-            Path path = paths.get(node);
-            if (path != null && path.bad && path.mayProbe(nowNanos)) {
-                path.probeUntilNanos = nowNanos + PROBE_TIMEOUT_NANOS;
-                path.probing = true;
+            Set<NodeId> due = new HashSet<>();
+            paths.forEach(
+                    (id, path) -> {
+                        if (path.startProbe(nowNanos)) {
+                            due.add(id);
+                        }
+                    });
+            return due;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Records the end of a probe, also of one that was not started by {@link #startProbes}.
+     *
+     * @param node the node at the path's end
+     * @param answered whether the host side answered in time
+     * @param pathNanos time until the answer
+     * @param randomBits random number for the jitter
+     * @param nowNanos current time
+     */
+    public void probed(
+            NodeId node, boolean answered, long pathNanos, long randomBits, long nowNanos) {
+        boolean good = answered && pathNanos <= SLOW_PATH_NANOS;
+        lock.lock();
+        try {
+            Path path = paths.computeIfAbsent(node, key -> new Path());
+            path.probing = false;
+            boolean turned =
+                    good
+                            ? path.probeSucceeded(nowNanos)
+                            : path.turnBad(jitter(randomBits), nowNanos);
+            if (turned) {
+                publish();
+            }
+            if (path.forgettable(nowNanos)) {
+                paths.remove(node);
             }
         } finally {
             lock.unlock();
@@ -115,11 +147,11 @@
         lock.lock();
         try {
             Path path = paths.get(node);
-            if (path != null && path.succeeded(nowNanos)) {
-                publish();
-            }
-            if (path != null && path.forgettable(nowNanos)) {
-                paths.remove(node);
+            if (path != null) {
+                path.failures = 0;
+                if (path.forgettable(nowNanos)) {
+                    paths.remove(node);
+                }
             }
         } finally {
             lock.unlock();
@@ -137,8 +169,8 @@
     public void failed(NodeId node, long randomBits, long nowNanos) {
         lock.lock();
         try {
-            double jitter = (randomBits >>> (Long.SIZE - JITTER_BITS)) * 0x1.0p-53;
-            if (paths.computeIfAbsent(node, key -> new Path()).failed(jitter, nowNanos)) {
+            Path path = paths.computeIfAbsent(node, key -> new Path());
+            if (path.failed(jitter(randomBits), nowNanos)) {
                 publish();
             }
         } finally {
@@ -149,12 +181,12 @@
     /**
      * Forgets nodes that left the fleet.
      *
-     * @param present all nodes of the fleet
+     * @param present whether a node is in the fleet
      */
-    public void retain(Set<NodeId> present) {
+    public void retain(Predicate<NodeId> present) {
         lock.lock();
         try {
-            if (paths.keySet().retainAll(present)) {
+            if (paths.keySet().removeIf(present.negate())) {
                 publish();
             }
         } finally {
@@ -175,7 +207,6 @@
             List<Candidate> candidates,
             ToIntFunction<TargetId> weightPercent,
             int floorPercent,
-            boolean idempotent,
             long nowNanos) {
         long announced = 0;
         long serving = 0;
@@ -187,7 +218,7 @@
                 continue;
             }
             Path path = paths.get(candidate.node().id());
-            if (path == null || !path.bad || (idempotent && path.mayProbe(nowNanos))) {
+            if (path == null || !path.bad) {
                 serving += slots;
             } else {
                 avoidable.merge(candidate.node().id(), slots, Integer::sum);
@@ -214,6 +245,10 @@
         return avoided;
     }
 
+    private static double jitter(long randomBits) {
+        return (randomBits >>> (Long.SIZE - JITTER_BITS)) * 0x1.0p-53;
+    }
+
     private void publish() {
         Set<NodeId> bad = new HashSet<>();
         paths.forEach(
@@ -233,24 +268,30 @@
         private boolean bad;
         private boolean probing;
         private long backoffUntilNanos;
-        private long probeUntilNanos;
 
-        boolean mayProbe(long nowNanos) {
-            return nowNanos - backoffUntilNanos >= 0
-                    && (!probing || nowNanos - probeUntilNanos >= 0);
+        boolean startProbe(long nowNanos) {
+            if (!bad || probing || nowNanos - backoffUntilNanos < 0) {
+                return false;
+            }
+            probing = true;
+            return true;
         }
 
         /** Returns true if the path turned bad. */
         boolean failed(double jitter, long nowNanos) {
-            successes = 0;
             failures++;
-            boolean inBackoff = bad && nowNanos - backoffUntilNanos < 0;
-            if (failures < BAD_AFTER && !bad || inBackoff) {
+            // The probes alone decide about a bad path, which is used only if the floor demands it.
+            return !bad && failures >= BAD_AFTER && turnBad(jitter, nowNanos);
+        }
+
+        /** Starts a backoff. Returns true if the path was good. */
+        boolean turnBad(double jitter, long nowNanos) {
+            successes = 0;
+            if (bad && nowNanos - backoffUntilNanos < 0) {
                 return false;
             }
             boolean turned = !bad;
             bad = true;
-            probing = false;
             long backoff = BASE_BACKOFF_NANOS << Math.min(backoffs, MAX_DOUBLINGS);
             backoffs++;
             backoffUntilNanos = nowNanos + (long) (backoff * (1 + jitter) / 2);
@@ -258,21 +299,23 @@
         }
 
         /** Returns true if the path turned good. */
-        boolean succeeded(long nowNanos) {
-            failures = 0;
-            probing = false;
+        boolean probeSucceeded(long nowNanos) {
             if (!bad || nowNanos - backoffUntilNanos < 0) {
-                // An answer to a request sent before the path turned bad proves nothing.
+                // A probe sent before the path turned bad proves nothing.
                 return false;
             }
             successes++;
             bad = successes < GOOD_AFTER;
+            if (!bad) {
+                failures = 0;
+            }
             return !bad;
         }
 
         /** A flapping path keeps its backoff; one that stayed good needs no state. */
         boolean forgettable(long nowNanos) {
             return !bad
+                    && !probing
                     && failures == 0
                     && (backoffs == 0 || nowNanos - backoffUntilNanos > FLAPPING_NANOS);
         }
--- a/src/test/java/org/azureshed/process/HostLossIT.java
+++ b/src/test/java/org/azureshed/process/HostLossIT.java
@@ -50,7 +50,7 @@
                 one.end();
                 two.end();
                 for (Load load : List.of(one, two)) {
-                    assertEquals(List.of(), load.those(answer -> !answer.typed()));
+                    assertEquals(List.of(), load.those(answer -> !answer.ok()));
                     assertEquals(List.of(), load.those(answer -> answer.millis() > PAGE_MILLIS));
                 }
                 List<Load.Answer> paused = one.answers().subList(before, one.answers().size());
--- a/src/test/java/org/azureshed/routing/LimitsTest.java
+++ b/src/test/java/org/azureshed/routing/LimitsTest.java
@@ -50,7 +50,7 @@
     void badPathsNeverTakeTheServiceBelowItsFloor(int floorPercent) {
         fleet.forEach(candidate -> turnBad(candidate.node().id()));
 
-        Set<NodeId> avoided = avoided(floorPercent, false);
+        Set<NodeId> avoided = avoided(floorPercent);
 
         int left = fleet.size() - avoided.size();
         assertTrue(left * 10 >= floorPercent, left + " left");
@@ -65,29 +65,65 @@
         }
         // t4 to t9 are ejected, so only the targets behind bad paths can serve.
         Set<NodeId> avoided =
-                health.avoided(
-                        fleet, id -> id.value().compareTo("t4") >= 0 ? 0 : 100, 40, false, now);
+                health.avoided(fleet, id -> id.value().compareTo("t4") >= 0 ? 0 : 100, 40, now);
         assertEquals(Set.of(), avoided);
     }
 
+    /** Guards against a caller's request that is spent on a path without answers. */
     @Test
-    void aBadPathIsProbedByOneIdempotentRequestAfterItsBackoff() {
+    void aBadPathIsAvoidedUntilItsProbesSucceed() {
         NodeId node = new NodeId("n0");
         health.failed(node, 0, now);
         health.failed(node, 0, now);
-        assertEquals(Set.of(), avoided(50, true));
+        assertEquals(Set.of(), avoided(50));
         health.failed(node, 0, now);
-        assertEquals(Set.of(node), avoided(50, true));
+        assertEquals(Set.of(node), avoided(50));
+        assertEquals(Set.of(), health.startProbes(now));
 
         now += SECOND;
-        assertEquals(Set.of(node), avoided(50, false));
-        assertEquals(Set.of(), avoided(50, true));
-        health.started(node, now);
-        assertEquals(Set.of(node), avoided(50, true));
+        assertEquals(Set.of(node), avoided(50));
+        assertEquals(Set.of(node), health.startProbes(now));
+        assertEquals(Set.of(), health.startProbes(now));
+        probe(node, true);
+        assertEquals(Set.of(node), avoided(50));
+        assertEquals(Set.of(node), health.startProbes(now));
+        probe(node, true);
+        assertEquals(Set.of(), avoided(50));
+        assertEquals(Set.of(), health.startProbes(now));
+    }
+
+    /** Guards against a frozen host that costs several callers their whole deadline. */
+    @Test
+    void aProbeWithoutAnswerTurnsThePathBadAtOnce() {
+        NodeId node = new NodeId("n0");
+        probe(node, true);
+        assertEquals(Set.of(), avoided(50));
+        probe(node, false);
+        assertEquals(Set.of(node), avoided(50));
+    }
+
+    /** Guards against answers of old requests, which say nothing about the path at present. */
+    @Test
+    void onlyProbesEndABackoff() {
+        NodeId node = new NodeId("n0");
+        turnBad(node);
+        probe(node, true);
         health.answered(node, 10, 5, 0, now);
-        health.started(node, now);
+        now += SECOND;
         health.answered(node, 10, 5, 0, now);
-        assertEquals(Set.of(), avoided(50, false));
+        health.answered(node, 10, 5, 0, now);
+        assertEquals(Set.of(node), avoided(50));
+    }
+
+    /** Guards against probes and state of nodes that were replaced. */
+    @Test
+    void aNodeThatLeftIsForgotten() {
+        NodeId node = new NodeId("n0");
+        turnBad(node);
+        now += SECOND;
+        health.retain(id -> !id.equals(node));
+        assertEquals(Set.of(), health.badPaths());
+        assertEquals(Set.of(), health.startProbes(now));
     }
 
     @Test
@@ -97,14 +133,13 @@
         long last = 0;
         for (int i = 0; i < 4; i++) {
             long waited = 0;
-            while (!avoided(50, true).isEmpty()) {
+            while (health.startProbes(now).isEmpty()) {
                 now += SECOND / 100;
                 waited += SECOND / 100;
             }
             assertTrue(waited > 1.5 * last, waited + " after " + last);
             last = waited;
-            health.started(node, now);
-            health.failed(node, 0, now);
+            probe(node, false);
         }
     }
 
@@ -129,13 +164,13 @@
         for (int i = 0; i < 5_000; i++) {
             now += random.nextLong(SECOND / 2);
             NodeId node = new NodeId("n" + random.nextInt(10));
-            health.started(node, now);
-            if (random.nextInt(3) > 0) {
-                health.failed(node, random.nextLong(), now);
-            } else {
-                health.answered(node, 10, 5, random.nextLong(), now);
+            health.startProbes(now);
+            switch (random.nextInt(4)) {
+                case 0 -> health.answered(node, 10, 5, random.nextLong(), now);
+                case 1 -> probe(node, random.nextBoolean());
+                default -> health.failed(node, random.nextLong(), now);
             }
-            assertTrue(avoided(60, random.nextBoolean()).size() <= 4);
+            assertTrue(avoided(60).size() <= 4);
         }
     }
 
@@ -179,7 +214,11 @@
         }
     }
 
-    private Set<NodeId> avoided(int floorPercent, boolean idempotent) {
-        return new HashSet<>(health.avoided(fleet, id -> 100, floorPercent, idempotent, now));
+    private void probe(NodeId node, boolean answered) {
+        health.probed(node, answered, SECOND / 1_000, 0, now);
+    }
+
+    private Set<NodeId> avoided(int floorPercent) {
+        return new HashSet<>(health.avoided(fleet, id -> 100, floorPercent, now));
     }
 }
