Cut single directions between node processes in a test

The servlet took the published host port for the listener's, so with a mapped port it would have treated requests of nodes as callers'; it now gets the listener's own port. CuttableRelay holds the bytes of one direction, as TCP does until it can send them again.

--- a/src/main/java/org/azureshed/cli/NodeCommand.java
+++ b/src/main/java/org/azureshed/cli/NodeCommand.java
@@ -6,6 +6,7 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
@@ -46,6 +47,16 @@
     @Option(name = "--admin-port", description = "port of the admin listener (default 8083)")
     private int adminPort = 8083;
 
+    @Option(
+            name = "--advertised-host-port",
+            description = "host port as other nodes reach it (default: the host port)")
+    private Integer advertisedHostPort;
+
+    @Option(
+            name = "--advertised-control-port",
+            description = "control port as other nodes reach it (default: the control port)")
+    private Integer advertisedControlPort;
+
     @Required
     @Option(name = "--platform", description = "URL of the platform's object API")
     private String platform;
@@ -71,6 +82,8 @@
                         adminAddress,
                         adminPort,
                         URI.create(platform),
+                        Objects.requireNonNullElse(advertisedHostPort, hostPort),
+                        Objects.requireNonNullElse(advertisedControlPort, controlPort),
                         seeds.stream().map(Endpoint::parse).toList());
         new NodeApplication(settings).run();
         Thread.currentThread().join();
--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -91,7 +91,7 @@
         control.start();
         suspects = injector.getInstance(Suspects.class);
         shell = injector.getInstance(NodeShell.class);
-        shell.start();
+        shell.start(settings.controlListener());
         logStart(injector.getInstance(NodeInfo.class));
     }
 
--- a/src/main/java/org/azureshed/node/NodeModule.java
+++ b/src/main/java/org/azureshed/node/NodeModule.java
@@ -18,6 +18,7 @@
 import org.azureshed.platform.ObjectStore;
 import org.azureshed.poison.CrashWatch;
 import org.azureshed.poison.Suspects;
+import org.azureshed.proxy.HostListener;
 import org.azureshed.routing.PathHealth;
 
 /** Builds the objects of one node. */
@@ -31,6 +32,7 @@
     @Override
     protected void configure() {
         bind(NodeSettings.class).toInstance(settings);
+        bind(HostListener.class).toInstance(new HostListener(settings.hostPort()));
         bind(PrometheusRegistry.class).toInstance(new PrometheusRegistry());
     }
 
--- a/src/main/java/org/azureshed/node/NodeSettings.java
+++ b/src/main/java/org/azureshed/node/NodeSettings.java
@@ -21,6 +21,9 @@
  * @param adminAddress IP number that the admin listener binds to
  * @param adminPort port for operators, metrics and target announcements
  * @param platform base URL of the platform's object API
+ * @param advertisedHostPort port that other nodes send requests to; another one than {@code
+ *     hostPort} if the network maps ports
+ * @param advertisedControlPort port that other nodes send control messages to
  * @param seeds control addresses of other nodes, asked while the platform is away
  */
 public record NodeSettings(
@@ -34,6 +37,8 @@
         String adminAddress,
         int adminPort,
         URI platform,
+        int advertisedHostPort,
+        int advertisedControlPort,
         List<Endpoint> seeds) {
     /** Checks the settings. */
     public NodeSettings {
@@ -44,6 +49,8 @@
         checkPort("--host-port", hostPort);
         checkPort("--control-port", controlPort);
         checkPort("--admin-port", adminPort);
+        checkPort("--advertised-host-port", advertisedHostPort);
+        checkPort("--advertised-control-port", advertisedControlPort);
         boolean distinct =
                 java.util.stream.IntStream.of(entryPort, hostPort, controlPort, adminPort)
                                 .distinct()
@@ -61,6 +68,10 @@
                 port > 0 && port < 65_536, "%s is %s; give a port from 1 to 65535", flag, port);
     }
 
+    Endpoint controlListener() {
+        return new Endpoint(address, controlPort);
+    }
+
     /**
      * The record that the node publishes when it starts.
      *
@@ -73,8 +84,8 @@
                 region,
                 availabilityZone,
                 new Endpoint(address, entryPort),
-                new Endpoint(address, hostPort),
-                new Endpoint(address, controlPort),
+                new Endpoint(address, advertisedHostPort),
+                new Endpoint(address, advertisedControlPort),
                 incarnation,
                 1,
                 false,
--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -108,11 +108,12 @@
     /**
      * Opens the control listener and starts the background threads.
      *
+     * @param listener address of the control listener
      * @throws IllegalStateException if the control port cannot be opened
      */
-    void start() {
+    void start(Endpoint listener) {
         health.start();
-        fleet.start(self.control())
+        fleet.start(listener)
                 .peekLeft(
                         (TransportError error) -> {
                             throw new IllegalStateException(error.message());
--- a/src/main/java/org/azureshed/proxy/TrafficServlet.java
+++ b/src/main/java/org/azureshed/proxy/TrafficServlet.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.azureshed.control.ControlLoop;
-import org.azureshed.model.NodeInfo;
 
 /**
  * Dispatches requests by the listener that they arrived on. Only requests on the host listener may
@@ -30,12 +29,12 @@
             HostHandler host,
             ActiveRequests requests,
             ControlLoop control,
-            NodeInfo self) {
+            HostListener listener) {
         this.requests = requests;
         this.control = control;
         this.entry = entry;
         this.host = host;
-        this.hostPort = self.host().port();
+        this.hostPort = listener.port();
     }
 
     @Override
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -60,17 +60,21 @@
 
     /** Settings of a node with free ports. */
     public static NodeSettings settings(String id, URI platform) throws IOException {
+        int hostPort = freePort();
+        int controlPort = freePort();
         return new NodeSettings(
                 new NodeId(id),
                 "region-1",
                 "zone-" + id,
                 "127.0.0.1",
                 freePort(),
-                freePort(),
-                freePort(),
+                hostPort,
+                controlPort,
                 "127.0.0.1",
                 freePort(),
                 platform,
+                hostPort,
+                controlPort,
                 List.of());
     }
 
--- a/src/test/java/org/azureshed/process/FleetProcesses.java
+++ b/src/test/java/org/azureshed/process/FleetProcesses.java
@@ -84,17 +84,34 @@
                 FleetInProcess.freePort());
     }
 
+    /** Starts a node that others reach through relays, so that paths to it can be cut. */
+    void startBehind(Node node, CuttableRelay host, CuttableRelay control) throws Exception {
+        startNode(
+                node,
+                List.of(
+                        "--advertised-host-port",
+                        "" + host.port(),
+                        "--advertised-control-port",
+                        "" + control.port()));
+    }
+
     /** Starts a node; it need not be ready when this returns. */
     void startNode(Node node, Node... seeds) throws Exception {
+        List<String> more = new ArrayList<>();
+        for (Node seed : seeds) {
+            more.addAll(List.of("--seed", "127.0.0.1:" + seed.control()));
+        }
+        startNode(node, more);
+    }
+
+    private void startNode(Node node, List<String> more) throws Exception {
         List<String> arguments = new ArrayList<>(List.of("node", "--node-id", node.id()));
         arguments.addAll(List.of("--region", "region-1", "--zone", "zone-1"));
         arguments.addAll(List.of("--address", "127.0.0.1", "--platform", platform()));
         arguments.addAll(List.of("--entry-port", "" + node.entry(), "--host-port"));
         arguments.addAll(List.of("" + node.host(), "--control-port", "" + node.control()));
         arguments.addAll(List.of("--admin-port", "" + node.admin()));
-        for (Node seed : seeds) {
-            arguments.addAll(List.of("--seed", "127.0.0.1:" + seed.control()));
-        }
+        arguments.addAll(more);
         start(node.id(), arguments.toArray(String[]::new));
     }
 
