Show avoided paths, weights and load in status and metrics

A path that turned good again, or bad by failed requests, was not logged.

Change: status has knownNodes, badPaths, the load of the node's own targets, and weightPercent and path of each target. Log events path_bad with its cause and path_good.

Before: nothing of it.

--- a/src/main/java/org/azureshed/node/AdminResource.java
+++ b/src/main/java/org/azureshed/node/AdminResource.java
@@ -14,13 +14,17 @@
 import jakarta.ws.rs.Produces;
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
+import java.util.Set;
+import org.azureshed.admission.Admission;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
 import org.azureshed.control.Snapshot;
+import org.azureshed.model.NodeId;
 import org.azureshed.model.TargetId;
 import org.azureshed.model.TargetInfo;
 import org.azureshed.poison.CrashWatch;
 import org.azureshed.routing.Candidate;
+import org.azureshed.routing.PathHealth;
 import org.azureshed.telemetry.EventLog;
 
 /** Admin API: announcements of targets and the status of the node. */
@@ -32,10 +36,14 @@
 
     private final ControlLoop control;
     private final CrashWatch crashes;
+    private final PathHealth paths;
+    private final Admission admission;
     private final ObjectMapper mapper = new ObjectMapper();
 
     @Inject
-    AdminResource(ControlLoop control, CrashWatch crashes) {
+    AdminResource(ControlLoop control, CrashWatch crashes, PathHealth paths, Admission admission) {
+        this.paths = paths;
+        this.admission = admission;
         this.control = control;
         this.crashes = crashes;
     }
@@ -80,7 +88,8 @@
     /**
      * Describes what this node knows.
      *
-     * @return JSON with the node, the preset in force and the targets of each service
+     * @return JSON with the node, the preset in force, the nodes that its entry side avoids, the
+     *     load of its own targets, and the targets of each service with weight and path
      */
     @GET
     @Path("/status")
@@ -99,18 +108,49 @@
                             root.put("purpose", active.preset().purpose());
                             root.put("watch", active.preset().watch());
                         });
+        root.put("knownNodes", snapshot.nodeCount());
+        ArrayNode badPaths = root.putArray("badPaths");
+        Set<NodeId> bad = paths.badPaths();
+        bad.stream().sorted().forEach(id -> badPaths.add(id.value()));
+        ArrayNode hosted = root.putArray("hosted");
+        snapshot.self().targets().forEach(target -> addHosted(hosted, target));
         ObjectNode services = root.putObject("services");
         snapshot.candidates()
                 .forEach(
                         (service, candidates) -> {
                             ArrayNode list = services.putArray(service);
-                            candidates.forEach(candidate -> addTarget(list, candidate));
+                            for (Candidate candidate : candidates) {
+                                addTarget(list, candidate)
+                                        .put(
+                                                "weightPercent",
+                                                snapshot.weightPercent(candidate.target().id()))
+                                        .put(
+                                                "path",
+                                                bad.contains(candidate.node().id())
+                                                        ? "bad"
+                                                        : "good");
+                            }
                         });
         return root.toPrettyString() + "\n";
     }
 
-    private static void addTarget(ArrayNode list, Candidate candidate) {
-        list.addObject()
+    private void addHosted(ArrayNode list, TargetInfo target) {
+        ObjectNode entry = list.addObject();
+        entry.put("target", target.id().value());
+        entry.put("service", target.service());
+        admission
+                .report(target.id(), System.nanoTime())
+                .ifPresent(
+                        report ->
+                                entry.put("slots", report.slots())
+                                        .put("inFlight", report.inFlight())
+                                        .put("queued", report.queued())
+                                        .put("medianServiceMicros", report.medianServiceMicros())
+                                        .put("errorShare", report.errorShare()));
+    }
+
+    private static ObjectNode addTarget(ArrayNode list, Candidate candidate) {
+        return list.addObject()
                 .put("target", candidate.target().id().value())
                 .put("node", candidate.node().id().value())
                 .put("slots", candidate.target().slots())
--- a/src/main/java/org/azureshed/node/NodeApplication.java
+++ b/src/main/java/org/azureshed/node/NodeApplication.java
@@ -5,6 +5,7 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayInputStream;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlLoop;
@@ -71,6 +72,8 @@
                 .addMapping("/*");
         ResourceConfig api =
                 new ResourceConfig().register(injector.getInstance(AdminResource.class));
+        injector.getInstance(StateMetrics.class)
+                .register(injector.getInstance(PrometheusRegistry.class));
         environment.admin().addServlet("api", new ServletContainer(api)).addMapping("/v1/*");
         environment
                 .admin()
--- a/src/main/java/org/azureshed/proxy/PathProber.java
+++ b/src/main/java/org/azureshed/proxy/PathProber.java
@@ -17,6 +17,7 @@
 import org.azureshed.model.UnknownCause;
 import org.azureshed.routing.PathHealth;
 import org.azureshed.telemetry.EventLog;
+import org.azureshed.telemetry.FleetMetrics;
 
 /**
  * Probes the paths to host sides that keep a request waiting, and paths that are bad.
@@ -41,9 +42,11 @@
     private final ControlLoop control;
     private final PathHealth paths;
     private final ClockRequests clocks;
+    private final FleetMetrics metrics;
 
     @Inject
-    PathProber(ControlLoop control, PathHealth paths, ClockRequests clocks) {
+    PathProber(ControlLoop control, PathHealth paths, ClockRequests clocks, FleetMetrics metrics) {
+        this.metrics = metrics;
         this.control = control;
         this.paths = paths;
         this.clocks = clocks;
@@ -127,13 +130,14 @@
             underWay.remove(node.id());
             long now = System.nanoTime();
             long random = ThreadLocalRandom.current().nextLong();
-            boolean wasGood = !paths.badPaths().contains(node.id());
-            paths.probed(node.id(), answered, now - sent, random, now);
+            metrics.pathProbed(answered);
+            boolean turned = paths.probed(node.id(), answered, now - sent, random, now);
             if (!answered) {
                 cancelWaiting(node.id(), sent);
             }
-            if (wasGood && paths.badPaths().contains(node.id())) {
-                EventLog.warning("path_bad")
+            if (turned) {
+                boolean bad = paths.badPaths().contains(node.id());
+                (bad ? EventLog.warning("path_bad") : EventLog.info("path_good"))
                         .with("node", node.id())
                         .with("probe_answered", answered)
                         .with("probe_ms", TimeUnit.NANOSECONDS.toMillis(now - sent))
--- a/src/main/java/org/azureshed/proxy/TargetChooser.java
+++ b/src/main/java/org/azureshed/proxy/TargetChooser.java
@@ -19,6 +19,7 @@
 import org.azureshed.routing.PickRequest;
 import org.azureshed.routing.RetryBudget;
 import org.azureshed.routing.TargetPicker;
+import org.azureshed.telemetry.EventLog;
 
 /** Holds the routing state of this entry side: one picker and retry budget for each service. */
 @Singleton
@@ -97,21 +98,21 @@
     void answered(Pick pick, LoadHeader load, long sentNanos) {
         long now = System.nanoTime();
         pick.report(load.report(), now);
-        paths.answered(
-                pick.candidate().node().id(),
-                now - sentNanos,
-                load.spentNanos(),
-                ThreadLocalRandom.current().nextLong(),
-                now);
+        NodeId node = pick.candidate().node().id();
+        long random = ThreadLocalRandom.current().nextLong();
+        if (paths.answered(node, now - sentNanos, load.spentNanos(), random, now)) {
+            logBadPath(node, "slow answers");
+        }
     }
 
     /** Records that a node could not be reached or did not answer in time. */
     void failed(NodeId node) {
-        paths.failed(node, ThreadLocalRandom.current().nextLong(), System.nanoTime());
+        if (paths.failed(node, ThreadLocalRandom.current().nextLong(), System.nanoTime())) {
+            logBadPath(node, "failed requests");
+        }
     }
 
-    /** Nodes whose path is bad in this node's own view. */
-    Set<NodeId> badPaths() {
-        return paths.badPaths();
+    private static void logBadPath(NodeId node, String cause) {
+        EventLog.warning("path_bad").with("node", node).with("cause", cause).write();
     }
 }
--- a/src/main/java/org/azureshed/routing/PathHealth.java
+++ b/src/main/java/org/azureshed/routing/PathHealth.java
@@ -105,24 +105,31 @@
      * @param pathNanos time until the answer
      * @param randomBits random number for the jitter
      * @param nowNanos current time
+     * @return true if the path turned bad or good by it
      */
-    public void probed(
+    public boolean probed(
             NodeId node, boolean answered, long pathNanos, long randomBits, long nowNanos) {
-        boolean good = answered && pathNanos <= SLOW_PATH_NANOS;
+        boolean slow = pathNanos > SLOW_PATH_NANOS;
         lock.lock();
         try {
             Path path = paths.computeIfAbsent(node, key -> new Path());
             path.probing = false;
-            boolean turned =
-                    good
-                            ? path.probeSucceeded(nowNanos)
-                            : path.turnBad(jitter(randomBits), nowNanos);
+            boolean turned;
+            if (answered && !slow) {
+                turned = path.probeSucceeded(nowNanos);
+            } else if (answered && !path.bad) {
+                // A single late answer may come from a short pause of either node.
+                turned = path.failed(jitter(randomBits), nowNanos);
+            } else {
+                turned = path.turnBad(jitter(randomBits), nowNanos);
+            }
             if (turned) {
                 publish();
             }
             if (path.forgettable(nowNanos)) {
                 paths.remove(node);
             }
+            return turned;
         } finally {
             lock.unlock();
         }
@@ -136,13 +143,13 @@
      * @param hostNanos the part of it that the host side spent itself, waiting and running
      * @param randomBits random number for the jitter
      * @param nowNanos current time
+     * @return true if the path turned bad by it
      */
-    public void answered(
+    public boolean answered(
             NodeId node, long pathNanos, long hostNanos, long randomBits, long nowNanos) {
         long limit = Math.max(SLOW_PATH_NANOS, hostNanos * SLOW_PATH_FACTOR);
         if (pathNanos - hostNanos > limit) {
-            failed(node, randomBits, nowNanos);
-            return;
+            return failed(node, randomBits, nowNanos);
         }
         lock.lock();
         try {
@@ -153,6 +160,7 @@
                     paths.remove(node);
                 }
             }
+            return false;
         } finally {
             lock.unlock();
         }
@@ -165,14 +173,17 @@
      * @param node the node at the path's end
      * @param randomBits random number for the jitter
      * @param nowNanos current time
+     * @return true if the path turned bad by it
      */
-    public void failed(NodeId node, long randomBits, long nowNanos) {
+    public boolean failed(NodeId node, long randomBits, long nowNanos) {
         lock.lock();
         try {
             Path path = paths.computeIfAbsent(node, key -> new Path());
-            if (path.failed(jitter(randomBits), nowNanos)) {
+            boolean turned = path.failed(jitter(randomBits), nowNanos);
+            if (turned) {
                 publish();
             }
+            return turned;
         } finally {
             lock.unlock();
         }
--- a/src/main/java/org/azureshed/telemetry/FleetMetrics.java
+++ b/src/main/java/org/azureshed/telemetry/FleetMetrics.java
@@ -17,6 +17,7 @@
     private final Counter refusals;
     private final Counter unknown;
     private final Counter retries;
+    private final Counter pathProbes;
     private final Histogram duration;
     private final Gauge activation;
 
@@ -52,6 +53,12 @@
                         .help("Attempts after the first, by reason.")
                         .labelNames("reason")
                         .register(registry);
+        pathProbes =
+                Counter.builder()
+                        .name("azureshed_path_probes_total")
+                        .help("Probes of paths to other nodes, by result.")
+                        .labelNames("result")
+                        .register(registry);
         duration =
                 Histogram.builder()
                         .name("azureshed_request_duration_seconds")
@@ -74,6 +81,8 @@
         for (RetryReason reason : RetryReason.values()) {
             retries.initLabelValues(reason.label());
         }
+        pathProbes.initLabelValues("answered");
+        pathProbes.initLabelValues("silent");
     }
 
     /** The two sides of a node. */
@@ -127,6 +136,15 @@
         retries.labelValues(reason.label()).inc();
     }
 
+    /**
+     * Counts a probe of a path.
+     *
+     * @param answered whether the node at its end answered in time
+     */
+    public void pathProbed(boolean answered) {
+        pathProbes.labelValues(answered ? "answered" : "silent").inc();
+    }
+
     /**
      * Records how long a request took.
      *
--- a/src/test/java/org/azureshed/process/AsymmetricCutIT.java
+++ b/src/test/java/org/azureshed/process/AsymmetricCutIT.java
@@ -2,7 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +43,13 @@
                 for (Load load : loads) {
                     assertFalse(load.answers().getLast().body().contains(TARGET_A), "cut off");
                 }
+                // An operator must see the cut from the node alone.
+                JsonNode status = fixture.fleet.status(fixture.entry);
+                assertEquals("[\"host\"]", status.path("badPaths").toString());
+                assertEquals("bad", target(status, "a").path("path").asText());
+                assertEquals("good", target(status, "b").path("path").asText());
+                assertEquals(100, target(status, "a").path("weightPercent").asInt(), "ejected");
+                assertTrue(fixture.metrics(fixture.entry).contains("azureshed_bad_paths 1.0"));
                 fixture.hostRelay.restore();
                 FleetProcesses.await(
                         "requests at the target behind the restored path",
@@ -54,6 +65,15 @@
         }
     }
 
+    private static JsonNode target(JsonNode status, String id) {
+        for (JsonNode target : status.path("services").path("reading")) {
+            if (target.path("target").asText().equals(id)) {
+                return target;
+            }
+        }
+        throw new AssertionError("no target " + id + " in " + status);
+    }
+
     /** A node that nobody can send control messages to must still make its drain known. */
     @Test
     void drainSpreadsFromANodeThatHearsNothing() throws Exception {
@@ -117,6 +137,11 @@
             return new Load(fleet.client(), node.uri("/chapters/1"), DEADLINE.plusSeconds(5));
         }
 
+        String metrics(FleetProcesses.Node node) throws Exception {
+            HttpRequest request = HttpRequest.newBuilder(node.adminUri("/metrics")).build();
+            return fleet.client().send(request, HttpResponse.BodyHandlers.ofString()).body();
+        }
+
         @Override
         public void close() throws Exception {
             fleet.close();
--- a/src/test/java/org/azureshed/routing/LimitsTest.java
+++ b/src/test/java/org/azureshed/routing/LimitsTest.java
@@ -102,6 +102,17 @@
         assertEquals(Set.of(node), avoided(50));
     }
 
+    /** Guards against a short pause of a node that takes it out of service. */
+    @Test
+    void severalSlowProbesTurnThePathBad() {
+        NodeId node = new NodeId("n0");
+        for (int i = 1; i <= PathHealth.BAD_AFTER; i++) {
+            assertEquals(Set.of(), avoided(50));
+            assertEquals(i == PathHealth.BAD_AFTER, health.probed(node, true, SECOND / 2, 0, now));
+        }
+        assertEquals(Set.of(node), avoided(50));
+    }
+
     /** Guards against answers of old requests, which say nothing about the path at present. */
     @Test
     void onlyProbesEndABackoff() {
