Raise the bound on virtual threads above the accepted exchanges

Dropwizard applies maxThreads also to the pool of virtual threads. With 32, all exchanges of the entry, host and admin sides of a node shared 32 threads. Two nodes whose entry sides held all of them waited for each other's host sides, which had no thread, until the deadlines; under steady load this did not end.

The bound is now 4,096, above the 1,000 exchanges that the entry side accepts.

Memory with 1,000 exchanges in flight was not measured.

--- a/src/main/java/org/azureshed/node/ServerConfiguration.java
+++ b/src/main/java/org/azureshed/node/ServerConfiguration.java
@@ -11,8 +11,13 @@
 final class ServerConfiguration {
     private static final String LOG_FORMAT = "time=%d{ISO8601,UTC} level=%p %m%n";
 
-    /** Virtual threads block on each exchange; platform threads serve acceptors and selectors. */
-    private static final int MAX_THREADS = 32;
+    /**
+     * Also bounds the virtual threads, one for each exchange of the entry, host and admin sides. It
+     * must lie well above the exchanges that the entry side accepts (1,000): entry sides that hold
+     * all threads of their nodes wait for each other's host sides, which then have none. Only
+     * acceptors and selectors use platform threads.
+     */
+    private static final int MAX_THREADS = 4_096;
 
     private static final int MIN_THREADS = 8;
     private static final int MAX_HEADER_KIB = 16;
