Measure key ranges, ejection and suspect requests at scale

CAPACITY.md had message sizes for key ranges only, and nothing for ejection and suspect requests, which became part of the control state later.

bench/run scale now also measures them at four sizes with the real reducers, and bench/run scale-health runs this part alone. A node takes digests of its share of 280,000 requests/s; the owner of a key range runs over a whole retention period at 1% keyed requests.

--- a/src/main/java/org/azureshed/bench/ScaleBench.java
+++ b/src/main/java/org/azureshed/bench/ScaleBench.java
@@ -23,9 +23,34 @@
     /**
      * Runs all sizes.
      *
-     * @param args none
+     * @param args {@code health} to measure key ranges, ejection and poison only, or none
      */
     public static void main(String[] args) {
+        measureHealth();
+        if (args.length == 0) {
+            measureViewsAndPresets();
+        }
+    }
+
+    private static void measureHealth() {
+        ScaleFigures warm = new ScaleFigures("warm_up");
+        measureHealth(SMALL, warm);
+        ScaleFigures figures = new ScaleFigures("scale");
+        for (ScalePoint point : List.of(SMALL, MEDIUM, LARGE, FEWER_INSTANCES)) {
+            measureHealth(point, figures);
+        }
+        for (String prefix : List.of("health", "key", "poison")) {
+            printViewSlopes(figures, prefix);
+        }
+    }
+
+    private static void measureHealth(ScalePoint point, ScaleFigures figures) {
+        new HealthCosts(point, figures).measure();
+        new KeyCosts(point, figures).measure();
+        new PoisonCosts(point, figures).measure();
+    }
+
+    private static void measureViewsAndPresets() {
         // The first run of the smallest size only warms the code up.
         ScaleFigures warm = new ScaleFigures("warm_up");
         new ViewCosts(SMALL, warm).measure();
@@ -39,11 +64,7 @@
             new PresetCosts(point, figures).measure();
         }
         for (String prefix : List.of("view", "gossip")) {
-            figures.printSlopes(
-                    prefix,
-                    new ScaleFigures.Slope(SMALL, FEWER_INSTANCES, LARGE),
-                    new ScaleFigures.Quantity("node", ScalePoint::nodes),
-                    new ScaleFigures.Quantity("instance", ScalePoint::instances));
+            printViewSlopes(figures, prefix);
         }
         figures.printSlopes(
                 "preset",
@@ -51,4 +72,12 @@
                 new ScaleFigures.Quantity("route", ScalePoint::routes),
                 new ScaleFigures.Quantity("organisation", ScalePoint::organisations));
     }
+
+    private static void printViewSlopes(ScaleFigures figures, String prefix) {
+        figures.printSlopes(
+                prefix,
+                new ScaleFigures.Slope(SMALL, FEWER_INSTANCES, LARGE),
+                new ScaleFigures.Quantity("node", ScalePoint::nodes),
+                new ScaleFigures.Quantity("instance", ScalePoint::instances));
+    }
 }
--- a/src/main/java/org/azureshed/bench/ScalePoint.java
+++ b/src/main/java/org/azureshed/bench/ScalePoint.java
@@ -27,7 +27,7 @@
  */
 public record ScalePoint(int nodes, int instances, int routes, int organisations) {
     private static final int ZONES = 10;
-    private static final int SERVICES = 500;
+    static final int SERVICES = 500;
     private static final int SLOTS = 4;
     private static final long START_MILLIS = 1_796_000_000_000L;
     private static final String HOST = "www.archive.example";
