Place key ranges only after the nodes are listed

A node that has just started knows only itself, so its first placement made it the best candidate of all 128 key ranges, and it read each of them.

The placement now waits for the listing, or as many rounds, like the role of a relay. ControlReducerTest shows 128 reads at the first tick before (it failed) and none after; one of 40 nodes then reads fewer than 16 ranges. The effect on a fleet is computed, not measured.

--- a/src/main/java/org/azureshed/control/KeyFollower.java
+++ b/src/main/java/org/azureshed/control/KeyFollower.java
@@ -34,7 +34,8 @@
     private Step<ControlState, Effect> placed(Step<ControlState, Effect> step, long now) {
         ControlState state = step.state();
         FleetState fleet = state.fleet();
-        if (now < fleet.placementDueMillis()) {
+        // A node that knows only itself would read or take all ranges.
+        if (now < fleet.placementDueMillis() || fleet.roundsBeforeRole() > 0) {
             return step;
         }
         ControlState next = state.withFleet(fleet.withPlacementDue(now + PLACEMENT_MILLIS));
--- a/src/test/java/org/azureshed/control/ControlReducerTest.java
+++ b/src/test/java/org/azureshed/control/ControlReducerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +13,9 @@
 import java.util.SplittableRandom;
 import org.azureshed.bench.GossipFleet;
 import org.azureshed.distribution.DistributionEffect;
+import org.azureshed.idempotency.KeyRange;
+import org.azureshed.idempotency.OwnerEffect;
+import org.azureshed.idempotency.OwnerEvent;
 import org.azureshed.membership.MembershipEvent;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.NodeInfo;
@@ -66,6 +70,37 @@
         assertEquals(1, watches(16));
     }
 
+    /** Without the wait, each node of a restarting fleet reads all 128 key ranges. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNodeReadsKeyRangesOnlyAfterTheListingOrAWait(boolean platformReplies) {
+        assertEquals(0, leaseReads(0));
+        if (platformReplies) {
+            List<NodeInfo> listed = new ArrayList<>();
+            for (int i = 0; i < NODES; i++) {
+                listed.add(GossipFleet.node(i));
+            }
+            submit(new ControlEvent.NodesListed(listed));
+            long reads = leaseReads(1);
+            assertTrue(reads < 16, "one of 40 nodes reads " + reads + " of 128 ranges");
+        } else {
+            for (int second = 0; second < 15; second++) {
+                assertEquals(0, leaseReads(second), "read after " + second + " s");
+                watches(second);
+            }
+            assertEquals(KeyRange.COUNT, leaseReads(16));
+        }
+    }
+
+    private long leaseReads(int second) {
+        Step<ControlState, Effect> step =
+                reducer.reduce(state, new ControlEvent.Keys(new OwnerEvent.Tick(1_000L * second)));
+        state = step.state();
+        return step.effects().stream()
+                .filter(e -> e instanceof Effect.Keys(OwnerEffect.ReadLease read))
+                .count();
+    }
+
     private long watches(int second) {
         ControlEvent round =
                 new ControlEvent.Membership(new MembershipEvent.GossipDue(1_000L * second, 7));
