Run nodes without the optimising compiler

Cause: split by thread (/proc/<pid>/task/*/stat, two idle nodes, 30 s windows that begin 30 s, 60 s and 150 s after the fleet is ready), a node took 6.37%, 6.30% and 3.13% of a core. The C2 compiler thread had 1.83%, 2.77% and 1.50% of a core in them, C1 0.80%, 0.20% and 0.33%, the carriers of virtual threads 1.60%, 1.27% and 0.87%, control 0.43%, 0.40% and 0.37%, control-io 0.37%, 0.23% and 0.23%, garbage collection 0.03%, 0.47% and 0.03%.

Ruled out as main causes: garbage collection, the exchange monitor (0.03%), the path prober (0.03%), HTTP idle eviction (did not show up), ticks and gossip (control and control-io together 0.6%).

At the design scale a node has 117 requests/s at the peak.

--- a/src/test/java/org/azureshed/process/FleetProcesses.java
+++ b/src/test/java/org/azureshed/process/FleetProcesses.java
@@ -31,6 +31,7 @@
                     "-XX:MaxDirectMemorySize=32m",
                     "-XX:ReservedCodeCacheSize=32m",
                     "-XX:MaxMetaspaceSize=80m",
+                    "-XX:TieredStopAtLevel=1",
                     "--sun-misc-unsafe-memory-access=allow");
     private static final long START_SECONDS = 40;
     private static final long EXIT_SECONDS = 10;
