Send small answers in one write and allocate less per request

Cause: each hop wrote the head and the body of an answer separately, which wakes the receiver twice. In a JFR recording at 300 requests/s, readNBytes and the copy buffer (16 KB each, also for requests without a body and for answers of 90 bytes) were 4.0% and 2.9% of the allocation samples; a young collection took 3 to 4 ms when undisturbed, about every 1.5 s.

Ruled out by the code or the recording: Nagle (off on the sockets that we open and by default in Jetty), contended locks (13 blocked monitors, all in the selector), logging (no line per successful request). Stale-connection checks of connections idle for more than 1 s stay: they keep a dead connection from turning a request into an unknown outcome.

Change: bytes of a body of known length that arrived with its head leave with it; a body that has not arrived does not delay the head. Small buffers for small answers and none for requests without a body.

--- a/src/main/java/org/azureshed/proxy/AnswerWriter.java
+++ b/src/main/java/org/azureshed/proxy/AnswerWriter.java
@@ -60,8 +60,10 @@
     }
 
     /**
-     * Copies the body. The head is sent first, so that a body that breaks off aborts the connection
-     * instead of becoming another answer.
+     * Copies the body. The head is sent before the copy waits for the body, so that a body that
+     * breaks off aborts the connection instead of becoming another answer. Bytes of a body of known
+     * length that have arrived with the head are sent with it: reading them cannot fail, and a
+     * segment of its own would wake the receiver twice.
      *
      * @param entity the body, or null
      * @param to the answer to send
@@ -79,21 +81,31 @@
             return;
         }
         try {
-            to.flushBuffer();
-            copy(entity.getContent(), to.getOutputStream(), inFlight, recorder);
+            InputStream input = entity.getContent();
+            long length = entity.getContentLength();
+            if (length <= 0 || input.available() == 0) {
+                to.flushBuffer();
+            }
+            copy(input, bufferBytes(length), to.getOutputStream(), inFlight, recorder);
         } catch (IOException e) {
             inFlight.cancel(UnknownCause.CALLER_GONE);
             throw e;
         }
     }
 
+    /** Small answers of known length get a small buffer, since garbage collection costs latency. */
+    private static int bufferBytes(long length) {
+        return length > 0 && length < COPY_BUFFER_BYTES ? (int) length : COPY_BUFFER_BYTES;
+    }
+
     private static void copy(
             InputStream input,
+            int bufferBytes,
             OutputStream output,
             InFlight inFlight,
             Optional<AnswerRecorder> recorder)
             throws IOException {
-        byte[] buffer = new byte[COPY_BUFFER_BYTES];
+        byte[] buffer = new byte[bufferBytes];
         int count;
         while ((count = input.read(buffer)) >= 0) {
             output.write(buffer, 0, count);
--- a/src/main/java/org/azureshed/proxy/RequestBody.java
+++ b/src/main/java/org/azureshed/proxy/RequestBody.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.SequenceInputStream;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 import org.azureshed.model.RefusalReason;
@@ -42,9 +43,14 @@
      * @throws CallerBodyException if the caller's connection fails
      */
     static RequestBody read(HttpServletRequest request, long maxBytes) throws CallerBodyException {
+        long length = request.getContentLengthLong();
+        boolean chunked = request.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
+        if (length == 0 || (length < 0 && !chunked)) {
+            // Reading would allocate a buffer of 16 KB for each request without a body.
+            return empty();
+        }
         try {
             InputStream input = request.getInputStream();
-            long length = request.getContentLengthLong();
             byte[] prefix = input.readNBytes(BUFFER_BYTES);
             boolean complete = prefix.length < BUFFER_BYTES || prefix.length == length;
             return complete
