Warm up equally before each rate of the latency measurement

Cause: the lower rate ran first, after 15 s of warm-up at its own rate, which is 1,800 requests. Processes had compiled little then.

Change: before each rate 20 s direct and 60 s through the fleet at 500 requests/s, then 5 s at the rate itself. What is measured is unchanged: rate, blocks that alternate between direct and forwarded requests, all requests, latency from the scheduled time. So the figure of the steady state is as strict as before, but it no longer contains the first minute after a start.

Not run: the machine was too busy for latencies (load above 40).

--- a/src/main/java/org/azureshed/bench/AddedLatency.java
+++ b/src/main/java/org/azureshed/bench/AddedLatency.java
@@ -9,12 +9,21 @@
  * Measures the time that entry and host node add to a request.
  *
  * <p>Arguments: URL of the target, URL through the fleet, requests per second, seconds. Blocks of
- * direct and forwarded requests alternate in one run, so that both see the same machine. Prints
- * key=value lines; {@code added_p99_ms} is the difference of the two 99th percentiles.
+ * direct and forwarded requests alternate in one run, so that both see the same machine. Both paths
+ * are warmed up by the same load before each rate and stay as they are afterwards. Prints key=value
+ * lines; {@code added_p99_ms} is the difference of the two 99th percentiles.
  */
 public final class AddedLatency {
     private static final Duration BLOCK = Duration.ofSeconds(5);
-    private static final Duration WARM_UP = Duration.ofSeconds(15);
+    private static final Duration SETTLE = Duration.ofSeconds(5);
+
+    /**
+     * Requests of the warm-up and their rate, whatever rate is measured. The optimising compiler
+     * takes up a method after 5,000 to 15,000 calls, which the lower rate reaches after minutes.
+     */
+    private static final int WARM_UP_PER_SECOND = 500;
+
+    private static final Duration WARM_UP = Duration.ofSeconds(60);
     private static final double MEDIAN = 50;
     private static final double P99 = 99;
 
@@ -32,8 +41,9 @@
         int rate = Integer.parseInt(args[2]);
         int blocks = (int) (Integer.parseInt(args[3]) / BLOCK.toSeconds() / 2);
         try (OpenLoopLoad load = new OpenLoopLoad()) {
-            load.run(direct, rate, WARM_UP.dividedBy(3));
-            load.run(fleet, rate, WARM_UP);
+            load.run(direct, WARM_UP_PER_SECOND, WARM_UP.dividedBy(3));
+            load.run(fleet, WARM_UP_PER_SECOND, WARM_UP);
+            load.run(fleet, rate, SETTLE);
             OpenLoopLoad.Result directTotal = load.run(direct, rate, BLOCK);
             OpenLoopLoad.Result fleetTotal = load.run(fleet, rate, BLOCK);
             for (int i = 1; i < blocks; i++) {
