Choose targets with the real TargetPicker in EjectionBench

Cause: the benchmark took the shorter of two queues. The real routing also weighs reported service times and error shares, so it starves a bad target and leaves the detector far fewer samples; the benchmark flattered.

Change: each of the three simulated nodes is an entry node with its own TargetPicker, fed by the load reports of its own answers, and takes in a digest at most once a second and only with an answer of the target, as in a running node. New scenarios: half of the answers fail (also at 2% of the demand), and two quiet services without a fault, one with 5% errors at all targets.

--- a/src/main/java/org/azureshed/bench/AgreedEjector.java
+++ b/src/main/java/org/azureshed/bench/AgreedEjector.java
@@ -1,7 +1,9 @@
 package org.azureshed.bench;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.azureshed.ejection.DetectorTuning;
 import org.azureshed.ejection.EjectedTarget;
 import org.azureshed.ejection.EjectionEffect;
@@ -18,7 +20,10 @@
 
 /** Three nodes with the real reducer, each of which hosts a third of the targets. */
 final class AgreedEjector extends FleetSimulation.Ejector {
-    private static final int NODES = 3;
+    private static final int NODES = SimulatedRouting.NODES;
+
+    /** Shortest time between two digests of a target that a node takes in, as in {@code proxy}. */
+    private static final long DIGEST_MICROS = 1_000_000;
 
     /** Time of one call to the platform. */
     private static final long CALL_MICROS = 5_000;
@@ -29,6 +34,7 @@
     private final HostMeter meter;
     private final EjectionReducer reducer;
     private final List<EjectionState> nodes = new ArrayList<>();
+    private final List<Map<TargetId, Long>> digestMicros = new ArrayList<>();
     private EjectionRecord stored = EjectionRecord.empty(FleetSimulation.SERVICE);
     private EjectionRecord inForce = stored;
     private long version;
@@ -38,7 +44,8 @@
         this.meter = meter;
         this.reducer = new EjectionReducer(tuning);
         for (int node = 0; node < NODES; node++) {
-            nodes.add(EjectionState.initial(new NodeId("node-" + node)));
+            nodes.add(EjectionState.initial(SimulatedRouting.nodeId(node)));
+            digestMicros.add(new HashMap<>());
         }
     }
 
@@ -58,33 +65,34 @@
                             FleetSimulation.SERVICE, FleetSimulation.FLOOR_PERCENT, NODES, views));
             reduce(node, new EjectionEvent.RecordHeard(stored, version));
         }
-        for (FleetSimulation.Target target : simulation.targets()) {
-            if (target.ended > 0) {
-                meter.digest(target.id, simulation.nowMicros())
-                        .ifPresent(
-                                digest -> {
-                                    for (int node = 0; node < NODES; node++) {
-                                        reduce(
-                                                node,
-                                                new EjectionEvent.DigestReceived(
-                                                        FleetSimulation.SERVICE,
-                                                        target.id,
-                                                        digest));
-                                    }
-                                });
-            }
-        }
         for (int node = 0; node < NODES; node++) {
             reduce(node, new EjectionEvent.Tick(nowMillis, simulation.randomSeed()));
         }
         inForce = nodes.get(0).enforcedRecordOf(FleetSimulation.SERVICE);
     }
 
+    @Override
+    void answered(int entryNode, TargetId target) {
+        long now = simulation.nowMicros();
+        Long last = digestMicros.get(entryNode).get(target);
+        if (last != null && now - last < DIGEST_MICROS) {
+            return;
+        }
+        digestMicros.get(entryNode).put(target, now);
+        meter.digest(target, now)
+                .ifPresent(
+                        digest ->
+                                reduce(
+                                        entryNode,
+                                        new EjectionEvent.DigestReceived(
+                                                FleetSimulation.SERVICE, target, digest)));
+    }
+
     private List<TargetView> views() {
         List<TargetView> views = new ArrayList<>();
         for (int i = 0; i < simulation.targets().size(); i++) {
             FleetSimulation.Target target = simulation.targets().get(i);
-            NodeId node = new NodeId("node-" + i % NODES);
+            NodeId node = SimulatedRouting.nodeId(i % NODES);
             views.add(new TargetView(target.id, node, target.slots, !target.starting));
         }
         return views;
--- a/src/main/java/org/azureshed/bench/EjectionScenario.java
+++ b/src/main/java/org/azureshed/bench/EjectionScenario.java
@@ -6,10 +6,14 @@
     SLOW_10X(true, 150),
     SLOW_2X(true, 150),
     ERRORS_20(true, 150),
+    ERRORS_50(true, 150),
+    QUIET_ERRORS_50(true, 240),
     FLAP_5S(true, 150),
     FLAP_30S(true, 150),
     SLOW_CLASS(true, 150),
     SERVICE_SLOW(false, 300),
+    QUIET(false, 300),
+    QUIET_ERRORS_5(false, 300),
     NOISY(false, 300),
     HEAVY_TAIL(false, 300),
     DEMAND_SWING(false, 300),
@@ -23,6 +27,14 @@
     private static final double NOISY_SPREAD = 1.2;
     private static final double USUAL_ERRORS = 0.005;
     private static final double FAULTY_ERRORS = 0.2;
+    private static final double HALF = 0.5;
+
+    /** Share at every target; a service with many errors as a whole has no outlier. */
+    private static final double MANY_ERRORS = 0.05;
+
+    /** Leaves a target about one request in two seconds, so that windows have few samples. */
+    private static final double QUIET_DEMAND = 0.02;
+
     private static final double MANY_TIMES = 10;
     private static final double TAIL_SHARE = 0.05;
     private static final double COLD_FACTOR = 4;
@@ -78,12 +90,25 @@
     }
 
     double errorShare(int target, double seconds) {
-        boolean bad = this == ERRORS_20 && target == 0 && seconds >= START_SECONDS;
-        return bad ? FAULTY_ERRORS : USUAL_ERRORS;
+        if (target == 0 && seconds >= START_SECONDS) {
+            return switch (this) {
+                case ERRORS_20 -> FAULTY_ERRORS;
+                case ERRORS_50, QUIET_ERRORS_50 -> HALF;
+                default -> usualErrors();
+            };
+        }
+        return usualErrors();
+    }
+
+    private double usualErrors() {
+        return this == QUIET_ERRORS_5 ? MANY_ERRORS : USUAL_ERRORS;
     }
 
     /** Factor on the arrival rate: a swing lasts 30 s in every two minutes. */
     double demand(double seconds) {
+        if (this == QUIET || this == QUIET_ERRORS_5 || this == QUIET_ERRORS_50) {
+            return QUIET_DEMAND;
+        }
         boolean peak =
                 this == DEMAND_SWING
                         && seconds >= START_SECONDS
--- a/src/main/java/org/azureshed/bench/FleetSimulation.java
+++ b/src/main/java/org/azureshed/bench/FleetSimulation.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.HdrHistogram.Histogram;
 import org.azureshed.ejection.HostMeter;
 import org.azureshed.model.TargetId;
+import org.azureshed.routing.Pick;
 
 /** One service under load in virtual time. All random numbers come from the seed. */
 final class FleetSimulation {
@@ -42,8 +44,9 @@
         final TargetId id;
         final int slots;
         final ArrayDeque<Request> queue = new ArrayDeque<>();
+        final RecentOutcomes recent = new RecentOutcomes();
         int running;
-        long ended;
+        int longRunning;
         boolean starting;
 
         Target(TargetId id, int slots) {
@@ -58,7 +61,14 @@
         long startedMicros;
         long token;
         int target;
+        int entryNode;
+        Pick pick;
         boolean error;
+
+        /** The second class of each workload is declared as long work. */
+        boolean longRunning() {
+            return requestClass == 1;
+        }
     }
 
     private record Event(long atMicros, long order, Request request, Runnable action) {}
@@ -68,6 +78,7 @@
     private final SplittableRandom random;
     private final List<Target> targets = new ArrayList<>();
     private final HostMeter meter = new HostMeter();
+    private final SimulatedRouting routing;
     private final Ejector ejector;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
@@ -100,6 +111,7 @@
         for (int i = 0; i < count; i++) {
             targets.add(new Target(new TargetId("target-" + i), workload.slots()));
         }
+        this.routing = new SimulatedRouting(targets);
         double spread = scenario.spread();
         double meanMicros =
                 Arrays.stream(workload.classes())
@@ -172,8 +184,8 @@
         for (int i = 0; i < targets.size(); i++) {
             targets.get(i).starting = scenario.starting(i, seconds());
         }
+        routing.announce(targets);
         ejector.tick();
-        targets.forEach(target -> target.ended = 0);
         schedule(SECOND, this::tick);
     }
 
@@ -187,9 +199,20 @@
         if (counted) {
             result.requests++;
         }
-        int first = pick();
-        int second = pick();
-        request.target = load(first) <= load(second) ? first : second;
+        request.entryNode = random.nextInt(SimulatedRouting.NODES);
+        Optional<Pick> pick =
+                routing.pick(
+                        request.entryNode,
+                        request.longRunning(),
+                        ejector::percent,
+                        random.nextLong(),
+                        now);
+        if (pick.isEmpty()) {
+            fail(request);
+            return;
+        }
+        request.pick = pick.get();
+        request.target = routing.indexOf(request.pick);
         if (counted && request.target == 0) {
             result.toFaulty++;
         }
@@ -200,29 +223,23 @@
             target.queue.add(request);
         } else {
             fail(request);
+            answered(request);
         }
     }
 
-    private int pick() {
-        for (int attempt = 0; attempt < 1_000; attempt++) {
-            int index = random.nextInt(targets.size());
-            Target target = targets.get(index);
-            int percent = target.starting ? 0 : ejector.percent(target.id);
-            if (percent == 100 || percent > 0 && random.nextInt(100) < percent) {
-                return index;
-            }
-        }
-        return random.nextInt(targets.size());
-    }
-
-    private int load(int index) {
-        return targets.get(index).running + targets.get(index).queue.size();
+    /** The answer carries the load report and the digest to the entry node. */
+    private void answered(Request request) {
+        Target target = targets.get(request.target);
+        SimulatedRouting.answered(
+                request.pick, target.recent.report(target, target.longRunning, now), now);
+        ejector.answered(request.entryNode, target.id);
     }
 
     private void start(Request request) {
         Target target = targets.get(request.target);
         Workload.SimulatedClass requestClass = workload.classes()[request.requestClass];
         target.running++;
+        target.longRunning += request.longRunning() ? 1 : 0;
         request.startedMicros = now;
         double noise = Math.exp(scenario.spread() * random.nextGaussian());
         if (random.nextDouble() < scenario.tailShare()) {
@@ -243,10 +260,12 @@
     private void complete(Request request) {
         Target target = targets.get(request.target);
         target.running--;
-        target.ended++;
+        target.longRunning -= request.longRunning() ? 1 : 0;
+        target.recent.add(now, now - request.startedMicros, request.error, request.longRunning());
         meter.finished(
                 request.token, request.error ? HostMeter.Result.ERROR : HostMeter.Result.OK, now);
         ejector.ended(target.id, request.error);
+        answered(request);
         if (request.error) {
             fail(request);
         } else if (request.requestClass == 0 && seconds() >= EjectionScenario.START_SECONDS) {
@@ -256,6 +275,7 @@
             Request next = target.queue.poll();
             if (now - next.arrivedMicros > QUEUE_MICROS) {
                 fail(next);
+                answered(next);
             } else {
                 start(next);
             }
@@ -277,5 +297,8 @@
         void tick() {}
 
         void ended(TargetId target, boolean error) {}
+
+        /** An answer of the target arrived at an entry node. */
+        void answered(int entryNode, TargetId target) {}
     }
 }
