Judge the errors of targets that get few requests

Cause: routing avoids a failing target by its load reports, so it gets a burst of 5 to 10 requests about every 20 s. The detector needs 20 samples in a window of at most 30 s, so the target was never agreed to be ejected.

Change: a digest also carries the total of requests and errors since the host started, and an entry node counts those between two digests, at most 120 s apart. From 4 requests on it is an outlying window if so many errors have an exact binomial chance of at most 0.1% at the error share of the peers (worst one left out, at least 1%). At least 5 peers with 20 samples are still needed. Digests of targets with fewer than 20 requests are neither cached by the host nor dropped by the entry node; the result of a burst was told only by the next one. Digests without totals (earlier versions) are still read.

Weighed: host windows that reach further back still overlap for 30 s, so a second one comes too late; fewer own samples for service times would need weaker tests; exploring traffic sends callers' requests to a bad target.

Slow targets are not found more often: service times still need 20 samples.

--- a/src/main/java/org/azureshed/bench/AgreedEjector.java
+++ b/src/main/java/org/azureshed/bench/AgreedEjector.java
@@ -14,6 +14,7 @@
 import org.azureshed.ejection.FloorCheck;
 import org.azureshed.ejection.HostMeter;
 import org.azureshed.ejection.Stage;
+import org.azureshed.ejection.TargetDigest;
 import org.azureshed.ejection.TargetView;
 import org.azureshed.model.NodeId;
 import org.azureshed.model.TargetId;
@@ -73,19 +74,22 @@
 
     @Override
     void answered(int entryNode, TargetId target) {
+        long now = simulation.nowMicros();
+        meter.digest(target, now).ifPresent(digest -> arrived(entryNode, target, digest));
+    }
+
+    private void arrived(int entryNode, TargetId target, TargetDigest digest) {
         long now = simulation.nowMicros();
         Long last = digestMicros.get(entryNode).get(target);
-        if (last != null && now - last < DIGEST_MICROS) {
-            return;
+        if (!digest.sparse()) {
+            if (last != null && now - last < DIGEST_MICROS) {
+                return;
+            }
+            digestMicros.get(entryNode).put(target, now);
         }
-        digestMicros.get(entryNode).put(target, now);
-        meter.digest(target, now)
-                .ifPresent(
-                        digest ->
-                                reduce(
-                                        entryNode,
-                                        new EjectionEvent.DigestReceived(
-                                                FleetSimulation.SERVICE, target, digest)));
+        reduce(
+                entryNode,
+                new EjectionEvent.DigestReceived(FleetSimulation.SERVICE, target, digest));
     }
 
     private List<TargetView> views() {
--- a/src/main/java/org/azureshed/bench/EjectionBench.java
+++ b/src/main/java/org/azureshed/bench/EjectionBench.java
@@ -1,5 +1,6 @@
 package org.azureshed.bench;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.LongStream;
@@ -12,7 +13,7 @@
  *
  * <pre>{@code
  * java -cp azureshed.jar org.azureshed.bench.EjectionBench [seeds] [threshold halfLifeMillis
- *     medianErrors upperErrors strengthWeight [policy]]
+ *     medianErrors upperErrors strengthWeight [policy [scenario...]]]
  * }</pre>
  */
 public final class EjectionBench {
@@ -25,7 +26,8 @@
     /**
      * Runs the measurements and the race search.
      *
-     * @param arguments number of seeds, then the five values of {@link DetectorTuning}
+     * @param arguments number of seeds, then the five values of {@link DetectorTuning}, a policy
+     *     and scenarios
      */
     public static void main(String[] arguments) {
         int seeds = arguments.length > 0 ? Integer.parseInt(arguments[0]) : DEFAULT_SEEDS;
@@ -42,6 +44,13 @@
                 arguments.length > 6
                         ? new EjectionPolicy[] {EjectionPolicy.valueOf(arguments[6])}
                         : EjectionPolicy.values();
+        EjectionScenario[] scenarios =
+                arguments.length > 7
+                        ? Arrays.stream(arguments)
+                                .skip(7)
+                                .map(EjectionScenario::valueOf)
+                                .toArray(EjectionScenario[]::new)
+                        : EjectionScenario.values();
         System.out.println("seeds=" + seeds + " tuning=\"" + tuning + "\"");
         for (boolean withDrain : new boolean[] {false, true}) {
             for (boolean conditional : new boolean[] {true, false}) {
@@ -59,7 +68,7 @@
             }
         }
         for (Workload workload : Workload.all()) {
-            for (EjectionScenario scenario : EjectionScenario.values()) {
+            for (EjectionScenario scenario : scenarios) {
                 for (EjectionPolicy policy : policies) {
                     System.out.println(measure(workload, scenario, policy, seeds, tuning));
                 }
--- a/src/main/java/org/azureshed/ejection/ClassDigest.java
+++ b/src/main/java/org/azureshed/ejection/ClassDigest.java
@@ -14,6 +14,9 @@
  * @param p75Micros 75th percentile of the same, in microseconds
  * @param p90Micros 90th percentile of the same, in microseconds
  * @param spanMillis length of the window in milliseconds; longer if requests are rare
+ * @param totalSamples requests that ended since the host's process started, so that a reader can
+ *     count those between two digests; 0 if the host does not tell
+ * @param totalErrors how many of them failed
  */
 public record ClassDigest(
         String requestClass,
@@ -23,7 +26,32 @@
         long medianMicros,
         long p75Micros,
         long p90Micros,
-        long spanMillis) {
+        long spanMillis,
+        long totalSamples,
+        long totalErrors) {
+    /** A digest without totals, as nodes of earlier versions send it. */
+    public ClassDigest(
+            String requestClass,
+            int samples,
+            int errors,
+            int timed,
+            long medianMicros,
+            long p75Micros,
+            long p90Micros,
+            long spanMillis) {
+        this(
+                requestClass,
+                samples,
+                errors,
+                timed,
+                medianMicros,
+                p75Micros,
+                p90Micros,
+                spanMillis,
+                0,
+                0);
+    }
+
     /** Checks the fields. */
     public ClassDigest {
         checkArgument(!requestClass.isEmpty(), "class name of a digest is empty");
@@ -39,6 +67,11 @@
                         && p90Micros >= p75Micros
                         && spanMillis >= 0,
                 "times of a digest must not be negative or out of order");
+        checkArgument(
+                totalErrors >= 0 && totalErrors <= totalSamples,
+                "%s errors in %s samples in total",
+                totalErrors,
+                totalSamples);
     }
 
     /**
--- a/src/main/java/org/azureshed/ejection/DetectorState.java
+++ b/src/main/java/org/azureshed/ejection/DetectorState.java
@@ -9,8 +9,10 @@
  *
  * @param latest newest digest of each target
  * @param scores evidence for each target and class
+ * @param counted up to where the requests of each target and class were judged
  */
-record DetectorState(Map<TargetId, Received> latest, Map<Subject, Score> scores) {
+record DetectorState(
+        Map<TargetId, Received> latest, Map<Subject, Score> scores, Map<Subject, Counted> counted) {
     /** A digest and the time it arrived. */
     record Received(TargetDigest digest, long atMillis) {}
 
@@ -33,28 +35,53 @@
             long outlierAtMillis,
             Evidence evidence) {}
 
+    /**
+     * Totals of the last digest whose requests were judged.
+     *
+     * @param samples requests that had ended by then
+     * @param errors how many of them had failed
+     * @param atMillis when the digest arrived
+     */
+    record Counted(long samples, long errors, long atMillis) {
+        /** Whether a digest counts on from here: its host did not restart, and not too long ago. */
+        boolean continuedBy(ClassDigest digest, long nowMillis) {
+            return digest.totalSamples() >= samples
+                    && digest.totalErrors() >= errors
+                    && nowMillis - atMillis <= SparseErrors.MAX_WINDOW_MILLIS;
+        }
+    }
+
     static DetectorState empty() {
-        return new DetectorState(HashMap.empty(), HashMap.empty());
+        return new DetectorState(HashMap.empty(), HashMap.empty(), HashMap.empty());
     }
 
     DetectorState withLatest(TargetId target, Received received) {
-        return new DetectorState(latest.put(target, received), scores);
+        return new DetectorState(latest.put(target, received), scores, counted);
     }
 
     DetectorState withScore(Subject subject, Score score) {
-        return new DetectorState(latest, scores.put(subject, score));
+        return new DetectorState(latest, scores.put(subject, score), counted);
+    }
+
+    /** Starts the next count of a subject at a digest. */
+    DetectorState withCounted(Subject subject, ClassDigest digest, long atMillis) {
+        Counted next = new Counted(digest.totalSamples(), digest.totalErrors(), atMillis);
+        return new DetectorState(latest, scores, counted.put(subject, next));
     }
 
     /** Forgets a target, for example when it is ejected, so that old evidence is not reused. */
     DetectorState without(TargetId target) {
         return new DetectorState(
-                latest.remove(target), scores.reject(entry -> entry._1().target().equals(target)));
+                latest.remove(target),
+                scores.reject(entry -> entry._1().target().equals(target)),
+                counted.reject(entry -> entry._1().target().equals(target)));
     }
 
     /** Keeps only the given targets. */
     DetectorState retain(java.util.Set<TargetId> targets) {
         return new DetectorState(
                 latest.filterKeys(targets::contains),
-                scores.filterKeys(subject -> targets.contains(subject.target())));
+                scores.filterKeys(subject -> targets.contains(subject.target())),
+                counted.filterKeys(subject -> targets.contains(subject.target())));
     }
 }
--- a/src/main/java/org/azureshed/ejection/Evidence.java
+++ b/src/main/java/org/azureshed/ejection/Evidence.java
@@ -10,7 +10,8 @@
  * @param peers median of the same value at its peers
  * @param samples requests behind the value
  * @param severity how bad the target is; larger is worse
- * @param significance by how many standard errors the value exceeds the bound
+ * @param significance by how many standard errors the value exceeds the bound; for errors among few
+ *     samples, the decimal orders of magnitude by which their chance is below 10%
  */
 public record Evidence(
         Kind kind,
--- a/src/main/java/org/azureshed/ejection/HostMeter.java
+++ b/src/main/java/org/azureshed/ejection/HostMeter.java
@@ -96,7 +96,9 @@
      */
     public synchronized Optional<TargetDigest> digest(TargetId target, long nowMicros) {
         TargetDigest cached = latest.get(target);
+        // The next answer of a target with few requests may be long in coming, so each one counts.
         if (cached != null
+                && !cached.sparse()
                 && nowMicros - cached.windowEndMillis() * 1_000 < DIGEST_INTERVAL_MICROS) {
             return Optional.of(cached);
         }
--- a/src/main/java/org/azureshed/ejection/OutlierDetector.java
+++ b/src/main/java/org/azureshed/ejection/OutlierDetector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
+import org.azureshed.ejection.DetectorState.Counted;
 import org.azureshed.ejection.DetectorState.Received;
 import org.azureshed.ejection.DetectorState.Score;
 import org.azureshed.ejection.DetectorState.Subject;
@@ -79,12 +80,20 @@
     DetectorState evaluate(
             DetectorState state, Map<TargetId, Long> comparableSince, long nowMillis) {
         DetectorState next = state;
-        for (var digests : fresh(state, comparableSince, nowMillis).values()) {
+        Map<String, Map<TargetId, ClassDigest>> byClass = fresh(state, comparableSince, nowMillis);
+        for (var digests : byClass.values()) {
             for (var candidate : digests.entrySet()) {
                 List<ClassDigest> others = others(digests, candidate.getKey());
                 next = judge(next, candidate.getKey(), candidate.getValue(), others, nowMillis);
             }
         }
+        for (var target : comparableSince.entrySet()) {
+            Received received = state.latest().getOrElse(target.getKey(), null);
+            if (received != null && nowMillis - received.atMillis() <= MAX_AGE_MILLIS) {
+                boolean cold = received.atMillis() < target.getValue();
+                next = judgeSparse(next, target.getKey(), received, cold, byClass, nowMillis);
+            }
+        }
         return next;
     }
 
@@ -138,6 +147,62 @@
             return state;
         }
         Optional<Evidence> evidence = compare(own, others);
+        return scored(state, subject, evidence, windowEnd, nowMillis)
+                .withCounted(subject, own, nowMillis);
+    }
+
+    /**
+     * Counts the errors since the last judged window. The host's own window ends after 30 s, and
+     * successive ones overlap if requests are rare, so the difference of the totals is taken.
+     */
+    private DetectorState judgeSparse(
+            DetectorState state,
+            TargetId target,
+            Received received,
+            boolean cold,
+            Map<String, Map<TargetId, ClassDigest>> byClass,
+            long nowMillis) {
+        DetectorState next = state;
+        for (ClassDigest own : received.digest().classes()) {
+            Subject subject = new Subject(target, own.requestClass());
+            Counted from = state.counted().getOrElse(subject, null);
+            if (cold || from == null || !from.continuedBy(own, nowMillis)) {
+                next = next.withCounted(subject, own, received.atMillis());
+                continue;
+            }
+            long samples = own.totalSamples() - from.samples();
+            List<ClassDigest> others =
+                    others(byClass.getOrDefault(own.requestClass(), Map.of()), target);
+            if (samples < SparseErrors.MIN_SAMPLES
+                    || received.atMillis() - from.atMillis() < SparseErrors.MIN_WINDOW_MILLIS
+                    || others.size() < MIN_PEERS) {
+                continue;
+            }
+            Optional<Evidence> evidence =
+                    SparseErrors.compare(
+                            own.requestClass(),
+                            (int) samples,
+                            (int) (own.totalErrors() - from.errors()),
+                            others);
+            if (evidence.isPresent()) {
+                long windowEnd = received.digest().windowEndMillis();
+                next = scored(next, subject, evidence, windowEnd, nowMillis);
+            }
+            if (evidence.isPresent() || samples >= MIN_SAMPLES) {
+                next = next.withCounted(subject, own, received.atMillis());
+            }
+        }
+        return next;
+    }
+
+    private DetectorState scored(
+            DetectorState state,
+            Subject subject,
+            Optional<Evidence> evidence,
+            long windowEnd,
+            long nowMillis) {
+        Score old =
+                state.scores().getOrElse(subject, new Score(0, nowMillis, Long.MIN_VALUE, 0, null));
         double value = decayed(old, nowMillis) + evidence.map(this::weight).orElse(0.0);
         return state.withScore(
                 subject,
--- a/src/main/java/org/azureshed/ejection/SampleRing.java
+++ b/src/main/java/org/azureshed/ejection/SampleRing.java
@@ -19,6 +19,7 @@
     private final long[] serviceMicros = new long[CAPACITY];
     private final boolean[] failed = new boolean[CAPACITY];
     private long count;
+    private long totalErrors;
 
     void add(long nowMicros, long micros, boolean error) {
         int slot = (int) (count % CAPACITY);
@@ -26,6 +27,7 @@
         serviceMicros[slot] = micros;
         failed[slot] = error;
         count++;
+        totalErrors += error ? 1 : 0;
     }
 
     /** Median service time of the requests held that did not fail, 0 without any. */
@@ -81,7 +83,9 @@
                 quantile(times, timed, 50),
                 quantile(times, timed, 75),
                 quantile(times, timed, 90),
-                span);
+                span,
+                count,
+                totalErrors);
     }
 
     private static long quantile(long[] sorted, int size, int percent) {
--- /dev/null
+++ b/src/main/java/org/azureshed/ejection/SparseErrors.java
@@ -0,0 +1,77 @@
+package org.azureshed.ejection;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Judges the errors of a target that gets too few requests for a window of the usual size. Routing
+ * avoids a failing target by its load reports, so it gets a few requests in half a minute; by the
+ * exact binomial distribution, three errors among them are already strong evidence.
+ */
+final class SparseErrors {
+    /** Fewer requests are not judged. */
+    static final int MIN_SAMPLES = 4;
+
+    /** Shortest window, so that one short disturbance does not fill two of them. */
+    static final long MIN_WINDOW_MILLIS = 5_000;
+
+    /** Longest window; older samples say nothing about the present. */
+    static final long MAX_WINDOW_MILLIS = 120_000;
+
+    /** Largest probability of as many errors if the target is like its peers. */
+    private static final double MAX_CHANCE = 1e-3;
+
+    /** Smallest error share assumed of the peers; a few errors among few requests are usual. */
+    private static final double MIN_EXPECTED_SHARE = 0.01;
+
+    private SparseErrors() {}
+
+    /** Evidence if the errors are unlikely for a target that fails as often as its peers. */
+    static Optional<Evidence> compare(
+            String requestClass, int samples, int errors, List<ClassDigest> others) {
+        double median =
+                RobustStatistics.of(others.stream().mapToDouble(ClassDigest::errorShare).toArray())
+                        .median();
+        double share = (double) errors / samples;
+        double chance = chanceOfAtLeast(errors, samples, Math.max(median, expectedShare(others)));
+        if (chance > MAX_CHANCE || share < median + OutlierDetector.MIN_ERROR_MARGIN) {
+            return Optional.empty();
+        }
+        // Decimal orders of magnitude: a chance of 0.1% gives a window 1.5 times the usual weight.
+        double significance = -Math.log10(Math.max(Double.MIN_NORMAL, chance)) - 1;
+        return Optional.of(Evidence.errors(requestClass, share, median, samples, significance));
+    }
+
+    /**
+     * Error share of the peers together. The worst peer is left out, so that a second bad target
+     * does not hide this one; one more error is assumed, since a small sample may have none.
+     */
+    private static double expectedShare(List<ClassDigest> others) {
+        List<ClassDigest> sorted =
+                others.stream()
+                        .sorted(Comparator.comparingDouble(ClassDigest::errorShare))
+                        .toList();
+        long samples = 1;
+        long errors = 1;
+        for (ClassDigest peer : sorted.subList(0, sorted.size() - 1)) {
+            samples += peer.samples();
+            errors += peer.errors();
+        }
+        return Math.max(MIN_EXPECTED_SHARE, (double) errors / samples);
+    }
+
+    /** Probability of at least so many errors, each request failing with the given probability. */
+    static double chanceOfAtLeast(int errors, int samples, double share) {
+        if (share >= 1) {
+            return 1;
+        }
+        double exactly = Math.pow(1 - share, samples);
+        double chance = 0;
+        for (int count = 0; count <= samples; count++) {
+            chance += count >= errors ? exactly : 0;
+            exactly *= (double) (samples - count) / (count + 1) * share / (1 - share);
+        }
+        return chance;
+    }
+}
--- a/src/main/java/org/azureshed/ejection/TargetDigest.java
+++ b/src/main/java/org/azureshed/ejection/TargetDigest.java
@@ -20,18 +20,35 @@
     public static final int MAX_CLASSES = 16;
 
     private static final int MAX_TEXT_LENGTH = 4096;
-    private static final int FIELDS = 8;
+    private static final int FIELDS = 10;
+
+    /** Nodes of earlier versions send no totals. */
+    private static final int FIELDS_WITHOUT_TOTALS = 8;
 
     /** Copies the list. */
     public TargetDigest {
         classes = List.copyOf(classes);
     }
 
+    /**
+     * Whether the target gets so few requests that each digest of it should be looked at.
+     *
+     * @return true if its window has fewer requests than a usual comparison needs
+     */
+    public boolean sparse() {
+        // Asked for each answer; a loop costs less than a stream.
+        int samples = 0;
+        for (ClassDigest digest : classes) {
+            samples += digest.samples();
+        }
+        return samples < OutlierDetector.MIN_SAMPLES;
+    }
+
     /**
      * Encodes the digest.
      *
      * @return text of visible ASCII characters without spaces, for example {@code
-     *     52000;page,40,1,39,51000,72000,98000,1000}
+     *     52000;page,40,1,39,51000,72000,98000,1000,5200,31}
      */
     public String encode() {
         StringBuilder text = new StringBuilder().append(windowEndMillis);
@@ -51,7 +68,11 @@
                     .append(',')
                     .append(digest.p90Micros())
                     .append(',')
-                    .append(digest.spanMillis());
+                    .append(digest.spanMillis())
+                    .append(',')
+                    .append(digest.totalSamples())
+                    .append(',')
+                    .append(digest.totalErrors());
         }
         return text.toString();
     }
@@ -82,7 +103,8 @@
     }
 
     private static ClassDigest parseClass(List<String> fields) {
-        if (fields.size() != FIELDS) {
+        boolean totals = fields.size() == FIELDS;
+        if (!totals && fields.size() != FIELDS_WITHOUT_TOTALS) {
             throw new IllegalArgumentException("a class digest has " + FIELDS + " fields");
         }
         return new ClassDigest(
@@ -93,6 +115,8 @@
                 Long.parseLong(fields.get(4)),
                 Long.parseLong(fields.get(5)),
                 Long.parseLong(fields.get(6)),
-                Long.parseLong(fields.get(7)));
+                Long.parseLong(fields.get(7)),
+                totals ? Long.parseLong(fields.get(8)) : 0,
+                totals ? Long.parseLong(fields.get(9)) : 0);
     }
 }
--- a/src/main/java/org/azureshed/proxy/DigestFeed.java
+++ b/src/main/java/org/azureshed/proxy/DigestFeed.java
@@ -14,7 +14,11 @@
 /** Passes the digests that answers carry to the control thread, at a bounded rate. */
 @Singleton
 final class DigestFeed {
-    /** Busy targets answer thousands of times a second; the detector needs one digest a second. */
+    /**
+     * Busy targets answer thousands of times a second; the detector needs one digest a second. All
+     * digests of a target with few requests are passed on: they come in bursts, and the next one
+     * would tell the result of a burst about 20 s later.
+     */
     private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** Bounds the memory for targets that have left. */
@@ -38,6 +42,10 @@
     void arrived(String service, TargetId target, TargetDigest digest) {
         long now = System.nanoTime();
         Long last = lastNanos.get(target);
+        if (digest.sparse()) {
+            submit(service, target, digest);
+            return;
+        }
         if (last != null && now - last < INTERVAL_NANOS) {
             return;
         }
@@ -46,12 +54,16 @@
                         ? lastNanos.putIfAbsent(target, now) == null
                         : lastNanos.replace(target, last, now);
         if (claimed) {
-            control.submit(
-                    new ControlEvent.Ejection(
-                            new EjectionEvent.DigestReceived(service, target, digest)));
+            submit(service, target, digest);
         }
         if (lastNanos.size() > MAX_TARGETS) {
             lastNanos.values().removeIf(sent -> now - sent > INTERVAL_NANOS);
         }
     }
+
+    private void submit(String service, TargetId target, TargetDigest digest) {
+        control.submit(
+                new ControlEvent.Ejection(
+                        new EjectionEvent.DigestReceived(service, target, digest)));
+    }
 }
--- a/src/test/java/org/azureshed/ejection/HostMeterTest.java
+++ b/src/test/java/org/azureshed/ejection/HostMeterTest.java
@@ -81,6 +81,15 @@
         assertEquals(Optional.of(digest), TargetDigest.parse(digest.encode()));
     }
 
+    /** During a change of version some nodes send no totals. */
+    @Test
+    void digestOfAnEarlierVersionIsRead() {
+        ClassDigest page = new ClassDigest("page", 40, 1, 39, 51_000, 72_000, 98_000, 1_000);
+        assertEquals(
+                Optional.of(new TargetDigest(52_000, List.of(page))),
+                TargetDigest.parse("52000;page,40,1,39,51000,72000,98000,1000"));
+    }
+
     /** Headers come from other processes and may be malformed. */
     @ParameterizedTest
     @ValueSource(
--- a/src/test/java/org/azureshed/node/EjectionInFleetTest.java
+++ b/src/test/java/org/azureshed/node/EjectionInFleetTest.java
@@ -34,6 +34,14 @@
     private static final int SLOW_MILLIS = 90;
     private static final int MAX_DETECTION_SECONDS = 90;
     private static final int REQUESTS_AFTER = 300;
+    private static final int NEEDED_PROBES = 3;
+    private static final int SLOTS = 4;
+
+    /** Floor of the service in {@code examples/ordinary.json}. */
+    private static final int FLOOR_PERCENT = 60;
+
+    /** Without the floor the second bad target is ejected within this time. */
+    private static final int SECOND_EJECTION_SECONDS = 25;
 
     private static URI page;
 
@@ -65,6 +73,46 @@
         }
     }
 
+    /** Guards against a target that stays ejected, or is readmitted without a probe. */
+    @Test
+    void recoveredTargetComesBack() throws Exception {
+        TargetId sick = new TargetId("reading-0");
+        try (Fixture fixture = new Fixture(this::failEverySecond);
+                Load load = new Load(fixture.client)) {
+            await(() -> fixture.fleet.weightPercent(fixture.entry, sick) == 0, "ejection");
+            fixture.targets.getFirst().behave((head, socket) -> answer(socket, FAST_MILLIS));
+            await(() -> fixture.fleet.weightPercent(fixture.entry, sick) > 0, "readmission");
+            assertTrue(fixture.probesAtFirst() >= NEEDED_PROBES, "readmitted without probes");
+            int before = fixture.pagesAtFirst();
+            await(() -> fixture.fleet.weightPercent(fixture.entry, sick) == 100, "full weight");
+            await(() -> fixture.pagesAtFirst() >= before + REQUESTS_AFTER, "requests");
+            assertEquals(100, fixture.fleet.weightPercent(fixture.host, sick));
+        }
+    }
+
+    /**
+     * Guards against ejections that add up to less than the floor. The bad targets have 8 slots
+     * each of 36, so that only one of them can be ejected with a floor of 60%.
+     */
+    @Test
+    void twoBadTargetsLeaveTheFloor() throws Exception {
+        try (Fixture fixture = new Fixture(this::failEverySecond, 2, 2 * SLOTS);
+                Load load = new Load(fixture.client)) {
+            await(() -> fixture.servingPercent() < 100, "ejection of one of them");
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECOND_EJECTION_SECONDS);
+            while (System.nanoTime() - end < 0) {
+                assertTrue(
+                        fixture.servingPercent() >= FLOOR_PERCENT,
+                        () -> fixture.servingPercent() + "% of the slots serve");
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            for (int i = 2; i < TARGETS; i++) {
+                TargetId healthy = new TargetId("reading-" + i);
+                assertEquals(100, fixture.fleet.weightPercent(fixture.entry, healthy));
+            }
+        }
+    }
+
     /**
      * Guards against a slow target that keeps its share of the traffic. Routing starves it, so it
      * has too few samples (9 in 23 s in one run, 20 are needed) to be ejected at this load.
@@ -101,16 +149,42 @@
         private final NodeSettings entry;
         private final NodeSettings host;
         private final List<ScriptedTarget> targets = new ArrayList<>();
+        private final List<Integer> slots = new ArrayList<>();
 
         Fixture(ScriptedTarget.Behaviour first) throws Exception {
+            this(first, 1, SLOTS);
+        }
+
+        Fixture(ScriptedTarget.Behaviour faulty, int faultyTargets, int faultySlots)
+                throws Exception {
             entry = fleet.startNode("entry");
             host = fleet.startNode("host");
             page = FleetInProcess.entry(entry).resolve("/chapters/1");
             for (int i = 0; i < TARGETS; i++) {
                 ScriptedTarget.Behaviour healthy = (head, socket) -> answer(socket, FAST_MILLIS);
-                targets.add(new ScriptedTarget(i == 0 ? first : healthy));
-                fleet.announce(host, "reading-" + i, "reading", targets.get(i).port(), 4);
+                targets.add(new ScriptedTarget(i < faultyTargets ? faulty : healthy));
+                slots.add(i < faultyTargets ? faultySlots : SLOTS);
+                fleet.announce(
+                        host, "reading-" + i, "reading", targets.get(i).port(), slots.get(i));
+            }
+        }
+
+        /** Share of the announced slots that serve in the view of the entry node. */
+        int servingPercent() {
+            int announced = 0;
+            int serving = 0;
+            for (int i = 0; i < TARGETS; i++) {
+                announced += slots.get(i);
+                serving += slots.get(i) * fleet.weightPercent(entry, new TargetId("reading-" + i));
             }
+            return serving / announced;
+        }
+
+        int probesAtFirst() {
+            return (int)
+                    targets.getFirst().heads().stream()
+                            .filter(head -> head.startsWith("GET / "))
+                            .count();
         }
 
         int pagesAtFirst() {
@@ -134,7 +208,7 @@
         }
     }
 
-    /** Two or three windows of evidence of 10 s each, the jitter and two calls of the platform. */
+    /** The cold start of 30 s, two bursts of requests about 20 s apart, and the jitter. */
     private static void await(BooleanSupplier condition, String what) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_DETECTION_SECONDS);
         while (!condition.getAsBoolean()) {
