--- a/src/main/java/org/azureshed/bench/ScaleBench.java
+++ b/src/main/java/org/azureshed/bench/ScaleBench.java
@@ -13,7 +13,7 @@
 public final class ScaleBench {
     private static final ScalePoint SMALL = new ScalePoint(300, 3_500, 5_000, 12_000);
     private static final ScalePoint MEDIUM = new ScalePoint(1_200, 14_000, 15_000, 36_000);
-    private static final ScalePoint LARGE = new ScalePoint(2_400, 28_000, 30_000, 71_000);
+    static final ScalePoint LARGE = new ScalePoint(2_400, 28_000, 30_000, 71_000);
     private static final ScalePoint FEWER_INSTANCES = new ScalePoint(2_400, 14_000, 30_000, 71_000);
     private static final ScalePoint FEWER_ORGANISATIONS =
             new ScalePoint(2_400, 28_000, 30_000, 12_000);
