--- a/src/main/java/org/azureshed/bench/PoisonCosts.java
+++ b/src/main/java/org/azureshed/bench/PoisonCosts.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.azureshed.control.ControlEvent;
 import org.azureshed.control.ControlReducer;
 import org.azureshed.control.ControlState;
+import org.azureshed.generated.GossipDeltas;
+import org.azureshed.generated.PoisonSuspect;
 import org.azureshed.model.TargetId;
 import org.azureshed.poison.CrashReport;
 import org.azureshed.poison.PoisonEvent;
@@ -21,6 +24,9 @@
     private static final int MEASURED = 300;
     private static final int IN_FLIGHT = 4;
 
+    /** Crashes have ids of 48 bits. */
+    private static final long CRASH_IDS = 1L << 48;
+
     private final ScalePoint point;
     private final ScaleFigures figures;
     private final SplittableRandom random = new SplittableRandom(42);
@@ -66,13 +72,29 @@
                 point,
                 "poison_entry_bytes",
                 SuspectEntry.encode(state.health().poison().gossip()).length);
+        figures.add(point, "poison_gossip_bytes", gossip().getSerializedSize());
+    }
+
+    /** The message by which gossip spreads the entries. */
+    private GossipDeltas gossip() {
+        GossipDeltas.Builder deltas = GossipDeltas.newBuilder();
+        for (SuspectEntry entry : state.health().poison().gossip()) {
+            long age = PoisonState.LIFETIME_MILLIS - entry.remainingMillis();
+            deltas.addSuspects(
+                    PoisonSuspect.newBuilder()
+                            .setFingerprint(entry.fingerprint().value())
+                            .setCrash(entry.crashId())
+                            .setCleared(entry.cleared())
+                            .setAgeSeconds((int) TimeUnit.MILLISECONDS.toSeconds(age)));
+        }
+        return deltas.build();
     }
 
     private List<SuspectEntry> entries() {
         List<SuspectEntry> entries = new ArrayList<>();
         for (int i = 0; i < PoisonState.MAX_ENTRIES; i++) {
             long remaining = PoisonState.LIFETIME_MILLIS - i;
-            entries.add(new SuspectEntry(fingerprint(), ++crashes, false, remaining));
+            entries.add(new SuspectEntry(fingerprint(), crashId(), false, remaining));
         }
         return entries;
     }
@@ -86,7 +108,11 @@
         crashes++;
         String service = "service-" + crashes % ScalePoint.SERVICES;
         TargetId target = new TargetId(service + "." + crashes);
-        return new PoisonEvent.TargetCrashed(new CrashReport(crashes, service, target, inFlight));
+        return new PoisonEvent.TargetCrashed(new CrashReport(crashId(), service, target, inFlight));
+    }
+
+    private long crashId() {
+        return random.nextLong(CRASH_IDS);
     }
 
     private RequestFingerprint fingerprint() {
--- a/src/main/java/org/azureshed/poison/PoisonState.java
+++ b/src/main/java/org/azureshed/poison/PoisonState.java
@@ -25,7 +25,7 @@
         Map<Key, Entry> entries,
         Map<RequestFingerprint, Long> held,
         Map<TargetId, List<LocalCrash>> crashes) {
-    /** Bounds memory and gossip to 1 KB. */
+    /** Bounds memory and gossip to 1.2 KB. */
     public static final int MAX_ENTRIES = 64;
 
     /** Lifetime of an entry. */
