Count the calls of each kind of object in the platform stand-in

GET /stats adds up all kinds, so that the renewals of key ranges hide the calls that a change of a preset costs. GET /stats/KIND gives the calls for objects of one kind; GET /stats is unchanged. HttpObjectStoreTest passes.

--- a/src/main/java/org/azureshed/standin/StandInHandler.java
+++ b/src/main/java/org/azureshed/standin/StandInHandler.java
@@ -29,6 +29,9 @@
     private final StandInFaults faults = new StandInFaults();
     private final Map<String, LongAdder> calls = new ConcurrentHashMap<>();
 
+    /** Calls by the kind of their objects. */
+    private final Map<String, Map<String, LongAdder>> callsOfKinds = new ConcurrentHashMap<>();
+
     /** An answer; without a version for answers that are not about one object. */
     private record Answer(int status, Optional<Long> version, byte[] body) {
         static Answer of(int status) {
@@ -73,22 +76,23 @@
         String call = request.getMethod() + " " + path[0] + " " + path.length;
         return switch (call) {
             case "POST faults 1" -> changeFaults(body(request));
-            case "GET stats 1" -> stats();
-            case "GET objects 2" -> limited("list", false, () -> list(path[1]));
-            case "GET objects 3" -> limited("get", false, () -> get(path[1], path[2]));
+            case "GET stats 1" -> stats(calls);
+            case "GET stats 2" -> stats(callsOfKinds.getOrDefault(path[1], Map.of()));
+            case "GET objects 2" -> limited("list", path[1], false, () -> list(path[1]));
+            case "GET objects 3" -> limited("get", path[1], false, () -> get(path[1], path[2]));
             case "PUT objects 3" -> {
                 byte[] value = body(request);
                 long ifVersion = number(request, "ifVersion");
-                yield limited("put", true, () -> put(path[1], path[2], value, ifVersion));
+                yield limited("put", path[1], true, () -> put(path[1], path[2], value, ifVersion));
             }
             case "DELETE objects 3" -> {
                 long ifVersion = number(request, "ifVersion");
-                yield limited("delete", true, () -> delete(path[1], path[2], ifVersion));
+                yield limited("delete", path[1], true, () -> delete(path[1], path[2], ifVersion));
             }
             case "GET watch 2" -> {
                 long since = number(request, "since");
                 long timeout = Math.min(MAX_WATCH_MILLIS, number(request, "timeoutMs"));
-                yield limited("watch", false, () -> watch(path[1], since, timeout));
+                yield limited("watch", path[1], false, () -> watch(path[1], since, timeout));
             }
             default -> Answer.of(404, "no such call: " + call);
         };
@@ -114,9 +118,10 @@
         Answer run() throws NoAnswer, IOException, InterruptedException;
     }
 
-    private Answer limited(String kindOfCall, boolean write, Call call)
+    private Answer limited(String kindOfCall, String kind, boolean write, Call call)
             throws NoAnswer, IOException, InterruptedException {
         count(kindOfCall);
+        count(callsOfKinds.computeIfAbsent(kind, absent -> new ConcurrentHashMap<>()), kindOfCall);
         faults.delay();
         if (faults.outage() == StandInFaults.Outage.CLOSE) {
             throw new NoAnswer("outage");
@@ -132,6 +137,10 @@
     }
 
     private void count(String kindOfCall) {
+        count(calls, kindOfCall);
+    }
+
+    private static void count(Map<String, LongAdder> calls, String kindOfCall) {
         calls.computeIfAbsent(kindOfCall, absent -> new LongAdder()).increment();
     }
 
@@ -203,7 +212,7 @@
         return Answer.of(200);
     }
 
-    private Answer stats() throws JsonProcessingException {
+    private Answer stats(Map<String, LongAdder> calls) throws JsonProcessingException {
         Map<String, Long> counts = new TreeMap<>();
         for (String kind : List.of("get", "put", "delete", "list", "watch", "rateLimited")) {
             counts.put(kind, 0L);
--- a/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
+++ b/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
@@ -133,6 +133,17 @@
                 send(stats).body());
     }
 
+    /** Guards against figures of one kind of object that include the calls of another. */
+    @Test
+    void countsCallsOfOneKindOfObject() throws Exception {
+        version(store.put(KEY, bytes("a"), 0));
+        store.list("other");
+        HttpRequest stats = HttpRequest.newBuilder(platform.uri().resolve("/stats/other")).build();
+        assertEquals(
+                "{\"delete\":0,\"get\":0,\"list\":1,\"put\":0,\"rateLimited\":0,\"watch\":0}",
+                send(stats).body());
+    }
+
     private static String name(Either<StoreError, ?> result) {
         return result.isRight() ? null : result.getLeft().getClass().getSimpleName();
     }
