--- a/src/main/java/org/azureshed/bench/OpenLoopLoad.java
+++ b/src/main/java/org/azureshed/bench/OpenLoopLoad.java
@@ -3,18 +3,24 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.azureshed.proxy.InternalHeaders;
 
 /**
  * Sends requests at a fixed rate, whatever the answers do. Latency counts from the scheduled time
@@ -48,6 +54,26 @@
         }
     }
 
+    /**
+     * How a request ended.
+     *
+     * @param status HTTP status, or 0 if the connection failed
+     * @param outcome the fleet's {@code Azureshed-Outcome} header, or empty
+     * @param body the response body, or empty
+     * @param dueNanos when it was due, by {@link System#nanoTime()}
+     * @param endNanos when the answer was complete, by {@link System#nanoTime()}
+     */
+    record Answer(int status, String outcome, String body, long dueNanos, long endNanos) {
+        boolean ok() {
+            return status == OK;
+        }
+    }
+
+    /** Runs a request that is due at a time by {@link System#nanoTime()}. */
+    private interface Sender {
+        void send(long dueNanos);
+    }
+
     /**
      * Runs a load and waits for all answers.
      *
@@ -59,6 +85,26 @@
     Result run(URI url, int perSecond, Duration duration) {
         Histogram latency = new ConcurrentHistogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
         AtomicLong failures = new AtomicLong();
+        schedule(perSecond, duration, due -> send(url, due, latency, failures));
+        return new Result(latency, failures.get());
+    }
+
+    /**
+     * Runs a load, waits for all answers and reports each of them.
+     *
+     * @param requests makes the requests
+     * @param perSecond requests per second
+     * @param duration how long to send
+     * @return how each request ended, in any order
+     */
+    Collection<Answer> answers(
+            Supplier<ClassicHttpRequest> requests, int perSecond, Duration duration) {
+        Collection<Answer> answers = new ConcurrentLinkedQueue<>();
+        schedule(perSecond, duration, due -> answers.add(send(requests.get(), due)));
+        return answers;
+    }
+
+    private static void schedule(int perSecond, Duration duration, Sender sender) {
         long interval = TimeUnit.SECONDS.toNanos(1) / perSecond;
         long count = duration.toNanos() / interval;
         long start = System.nanoTime();
@@ -66,10 +112,9 @@
             for (long i = 0; i < count; i++) {
                 long due = start + i * interval;
                 awaitNanos(due);
-                senders.execute(() -> send(url, due, latency, failures));
+                senders.execute(() -> sender.send(due));
             }
         }
-        return new Result(latency, failures.get());
     }
 
     private static void awaitNanos(long due) {
@@ -99,6 +144,25 @@
         }
     }
 
+    private Answer send(ClassicHttpRequest request, long due) {
+        try {
+            return client.execute(
+                    request,
+                    response -> {
+                        Header outcome = response.getFirstHeader(InternalHeaders.OUTCOME);
+                        String body = EntityUtils.toString(response.getEntity());
+                        return new Answer(
+                                response.getCode(),
+                                outcome == null ? "" : outcome.getValue(),
+                                body == null ? "" : body,
+                                due,
+                                System.nanoTime());
+                    });
+        } catch (IOException e) {
+            return new Answer(0, "", "", due, System.nanoTime());
+        }
+    }
+
     @Override
     public void close() throws IOException {
         client.close();
