--- a/src/main/java/org/azureshed/idempotency/internal/KeyShell.java
+++ b/src/main/java/org/azureshed/idempotency/internal/KeyShell.java
@@ -31,8 +31,6 @@
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.platform.ObjectStore;
-import org.azureshed.platform.StoreError;
-import org.azureshed.platform.StoredObject;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.transport.ControlHandler;
 import org.azureshed.transport.ControlTransport;
@@ -49,22 +47,18 @@
 
     private static final Duration CONSENT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(1);
-    private static final long READ_INTERVAL_MILLIS = 1_000;
 
     /** Claims whose answer the reducer owes; it answers each at once. */
     private static final int MAX_OPEN_CLAIMS = 10_000;
 
     private final NodeInstance self;
-    private final ObjectStore store;
     private final ControlTransport transport;
     private final Function<NodeId, Optional<Endpoint>> addresses;
     private final Consumer<OwnerEvent> events;
     private final Map<ClaimId, Consumer<ClaimReply>> claims = new ConcurrentHashMap<>();
     private final Map<Long, ControlHandler.Replier> consents = new ConcurrentHashMap<>();
-    private final Map<KeyRange, KeyRangeLease> leases = new ConcurrentHashMap<>();
-    private final Map<KeyRange, Long> readMillis = new ConcurrentHashMap<>();
-    private final HandOverParts handOvers =
-            new HandOverParts(range -> Optional.ofNullable(leases.get(range)));
+    private final LeaseStore leases;
+    private final HandOverParts handOvers;
     private final AtomicLong lastToken = new AtomicLong();
     private volatile Thread ticks;
 
@@ -84,10 +78,11 @@
             Function<NodeId, Optional<Endpoint>> addresses,
             Consumer<OwnerEvent> events) {
         this.self = self;
-        this.store = store;
         this.transport = transport;
         this.addresses = addresses;
         this.events = events;
+        this.leases = new LeaseStore(self, store, events);
+        this.handOvers = new HandOverParts(leases::known);
     }
 
     /** Starts the ticks and the listing of leases. */
@@ -112,8 +107,9 @@
     public void carryOut(OwnerEffect effect) {
         switch (effect) {
             case OwnerEffect.ReadLease(KeyRange range) ->
-                    Thread.ofVirtual().start(() -> read(range));
-            case OwnerEffect.WriteLease write -> Thread.ofVirtual().start(() -> write(write));
+                    Thread.ofVirtual().start(() -> leases.read(range));
+            case OwnerEffect.WriteLease write ->
+                    Thread.ofVirtual().start(() -> leases.write(write));
             case OwnerEffect.AnswerClaim(ClaimId id, ClaimReply reply) ->
                     Optional.ofNullable(claims.remove(id)).ifPresent(to -> to.accept(reply));
             case OwnerEffect.AskConsent ask -> askConsent(ask);
@@ -246,15 +242,7 @@
      * @return the lease, or empty if it is unknown
      */
     public Optional<KeyRangeLease> lease(KeyRange range, boolean outdated) {
-        KeyRangeLease known = leases.get(range);
-        long now = now();
-        Long readBefore = readMillis.get(range);
-        boolean readLately = readBefore != null && now - readBefore < READ_INTERVAL_MILLIS;
-        if (readLately || (known != null && !outdated)) {
-            return Optional.ofNullable(known);
-        }
-        readMillis.put(range, now);
-        return read(range);
+        return leases.lease(range, outdated);
     }
 
     private void claim(Claim claim, Consumer<ClaimReply> reply) {
@@ -266,60 +254,6 @@
         events.accept(new OwnerEvent.ClaimReceived(claim, now()));
     }
 
-    private Optional<KeyRangeLease> read(KeyRange range) {
-        long sent = now();
-        Either<StoreError, StoredObject> found = store.get(range.objectKey());
-        if (found.isLeft()) {
-            events.accept(
-                    found.getLeft() instanceof StoreError.NotFound
-                            ? new OwnerEvent.LeaseRead(range, Optional.empty(), 0, sent, now(), 0)
-                            : new OwnerEvent.ReadFailed(range, now()));
-            return Optional.empty();
-        }
-        StoredObject object = found.get();
-        Either<String, KeyRangeLease> lease = KeyRangeLease.parse(object.value());
-        if (lease.isLeft()) {
-            EventLog.warning("key_range_malformed").with("error", lease.getLeft()).write();
-            events.accept(new OwnerEvent.ReadFailed(range, now()));
-            return Optional.empty();
-        }
-        remember(lease.get());
-        events.accept(
-                new OwnerEvent.LeaseRead(
-                        range,
-                        Optional.of(lease.get()),
-                        object.version(),
-                        sent,
-                        now(),
-                        object.serverTimeMillis()));
-        return Optional.of(lease.get());
-    }
-
-    private void write(OwnerEffect.WriteLease write) {
-        KeyRangeLease lease = write.lease();
-        Either<StoreError, StoredObject> written =
-                store.put(lease.range().objectKey(), lease.toJson(), write.expectedVersion());
-        events.accept(
-                written.fold(
-                        error -> failed(lease, error),
-                        object ->
-                                new OwnerEvent.WriteAccepted(
-                                        lease,
-                                        object.version(),
-                                        write.sentMillis(),
-                                        now(),
-                                        object.serverTimeMillis())));
-    }
-
-    private static OwnerEvent failed(KeyRangeLease lease, StoreError error) {
-        return switch (error) {
-            case StoreError.Conflict ignored -> new OwnerEvent.WriteRefused(lease, true, now());
-            case StoreError.Unavailable ignored -> new OwnerEvent.WriteRefused(lease, false, now());
-            case StoreError.RateLimited ignored -> new OwnerEvent.WriteRefused(lease, false, now());
-            default -> new OwnerEvent.WriteUnanswered(lease, now());
-        };
-    }
-
     private void handOver(NodeInstance to, HandOver handOver) {
         Optional<Endpoint> peer = addresses.apply(to.node());
         boolean sent = peer.isPresent();
@@ -408,7 +342,7 @@
             while (!Thread.currentThread().isInterrupted()) {
                 events.accept(new OwnerEvent.Tick(now()));
                 if (now() >= listDue) {
-                    list();
+                    Thread.ofVirtual().start(leases::list);
                     listDue = now() + ThreadLocalRandom.current().nextLong(2 * LIST_MILLIS);
                 }
                 Thread.sleep(TICK_MILLIS);
@@ -418,31 +352,6 @@
         }
     }
 
-    private void list() {
-        Thread.ofVirtual()
-                .start(
-                        () ->
-                                store.list(KeyRange.OBJECT_KIND)
-                                        .peek(
-                                                listing ->
-                                                        listing.objects().stream()
-                                                                .map(StoredObject::value)
-                                                                .map(KeyRangeLease::parse)
-                                                                .forEach(
-                                                                        l -> l.peek(this::found))));
-    }
-
-    private void found(KeyRangeLease lease) {
-        remember(lease);
-        if (lease.successors().contains(self)) {
-            events.accept(new OwnerEvent.NamedAsSuccessor(lease.range(), now()));
-        }
-    }
-
-    private void remember(KeyRangeLease lease) {
-        leases.merge(lease.range(), lease, (old, read) -> read.epoch() >= old.epoch() ? read : old);
-    }
-
     static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- /dev/null
+++ b/src/main/java/org/azureshed/idempotency/internal/LeaseStore.java
@@ -0,0 +1,131 @@
+package org.azureshed.idempotency.internal;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.azureshed.idempotency.KeyRange;
+import org.azureshed.idempotency.KeyRangeLease;
+import org.azureshed.idempotency.NodeInstance;
+import org.azureshed.idempotency.OwnerEffect;
+import org.azureshed.idempotency.OwnerEvent;
+import org.azureshed.platform.ObjectStore;
+import org.azureshed.platform.StoreError;
+import org.azureshed.platform.StoredObject;
+import org.azureshed.telemetry.EventLog;
+
+/** Reads and writes the leases of key ranges at the platform. Calls block. */
+final class LeaseStore {
+    private static final long READ_INTERVAL_MILLIS = 1_000;
+
+    private final NodeInstance self;
+    private final ObjectStore store;
+    private final Consumer<OwnerEvent> events;
+    private final Map<KeyRange, KeyRangeLease> leases = new ConcurrentHashMap<>();
+    private final Map<KeyRange, Long> readMillis = new ConcurrentHashMap<>();
+
+    LeaseStore(NodeInstance self, ObjectStore store, Consumer<OwnerEvent> events) {
+        this.self = self;
+        this.store = store;
+        this.events = events;
+    }
+
+    /** The newest lease of a range that this node has read. */
+    Optional<KeyRangeLease> known(KeyRange range) {
+        return Optional.ofNullable(leases.get(range));
+    }
+
+    /** The known lease, or a new read of it, at most once a second for each range. */
+    Optional<KeyRangeLease> lease(KeyRange range, boolean outdated) {
+        KeyRangeLease known = leases.get(range);
+        long now = now();
+        Long readBefore = readMillis.get(range);
+        boolean readLately = readBefore != null && now - readBefore < READ_INTERVAL_MILLIS;
+        if (readLately || (known != null && !outdated)) {
+            return Optional.ofNullable(known);
+        }
+        readMillis.put(range, now);
+        return read(range);
+    }
+
+    Optional<KeyRangeLease> read(KeyRange range) {
+        long sent = now();
+        Either<StoreError, StoredObject> found = store.get(range.objectKey());
+        if (found.isLeft()) {
+            events.accept(
+                    found.getLeft() instanceof StoreError.NotFound
+                            ? new OwnerEvent.LeaseRead(range, Optional.empty(), 0, sent, now(), 0)
+                            : new OwnerEvent.ReadFailed(range, now()));
+            return Optional.empty();
+        }
+        StoredObject object = found.get();
+        Either<String, KeyRangeLease> lease = KeyRangeLease.parse(object.value());
+        if (lease.isLeft()) {
+            EventLog.warning("key_range_malformed").with("error", lease.getLeft()).write();
+            events.accept(new OwnerEvent.ReadFailed(range, now()));
+            return Optional.empty();
+        }
+        remember(lease.get());
+        events.accept(
+                new OwnerEvent.LeaseRead(
+                        range,
+                        Optional.of(lease.get()),
+                        object.version(),
+                        sent,
+                        now(),
+                        object.serverTimeMillis()));
+        return Optional.of(lease.get());
+    }
+
+    void write(OwnerEffect.WriteLease write) {
+        KeyRangeLease lease = write.lease();
+        Either<StoreError, StoredObject> written =
+                store.put(lease.range().objectKey(), lease.toJson(), write.expectedVersion());
+        events.accept(
+                written.fold(
+                        error -> failed(lease, error),
+                        object ->
+                                new OwnerEvent.WriteAccepted(
+                                        lease,
+                                        object.version(),
+                                        write.sentMillis(),
+                                        now(),
+                                        object.serverTimeMillis())));
+    }
+
+    private static OwnerEvent failed(KeyRangeLease lease, StoreError error) {
+        return switch (error) {
+            case StoreError.Conflict ignored -> new OwnerEvent.WriteRefused(lease, true, now());
+            case StoreError.Unavailable ignored -> new OwnerEvent.WriteRefused(lease, false, now());
+            case StoreError.RateLimited ignored -> new OwnerEvent.WriteRefused(lease, false, now());
+            default -> new OwnerEvent.WriteUnanswered(lease, now());
+        };
+    }
+
+    /** Reads all leases and reports those that name this node as a successor. */
+    void list() {
+        store.list(KeyRange.OBJECT_KIND)
+                .peek(
+                        listing ->
+                                listing.objects().stream()
+                                        .map(StoredObject::value)
+                                        .map(KeyRangeLease::parse)
+                                        .forEach(lease -> lease.peek(this::found)));
+    }
+
+    private void found(KeyRangeLease lease) {
+        remember(lease);
+        if (lease.successors().contains(self)) {
+            events.accept(new OwnerEvent.NamedAsSuccessor(lease.range(), now()));
+        }
+    }
+
+    private void remember(KeyRangeLease lease) {
+        leases.merge(lease.range(), lease, (old, read) -> read.epoch() >= old.epoch() ? read : old);
+    }
+
+    private static long now() {
+        return KeyShell.now();
+    }
+}
