Check the incarnation of the holder in a hand-over

Cause: a hand-over named its sender by node and epoch only. Within one history of the object an epoch belongs to one incarnation. After the platform is restored from an older copy, a restarted node can hold a range at an epoch that its earlier incarnation had, and a late hand-over of that one was accepted for the living holder. The receiver then takes the lease without a wait. The message also had no version, so the first write of a successor that had not read the object was a conflict.

Change: RecordHandover carries the sender's incarnation and the version. Parts of different incarnations are not joined. A hand-over from an older program version has incarnation 0 and is refused; the successor then takes over as from a dead owner.

Not added: the retention floor. The receiver raises it to its upper bound of the holder's platform time, which is not below the holder's own floor.

Before: HandOverPartsTest 2 of 2 failed (the late hand-over was accepted, the version was 0). After: 2 of 2 pass, KeyShellTest 3 of 3 pass (./build test -Dtest=HandOverPartsTest,KeyShellTest).

--- a/src/main/java/org/azureshed/idempotency/internal/HandOverParts.java
+++ b/src/main/java/org/azureshed/idempotency/internal/HandOverParts.java
@@ -10,6 +10,8 @@
 import org.azureshed.idempotency.HandOver;
 import org.azureshed.idempotency.KeyRange;
 import org.azureshed.idempotency.KeyRangeLease;
+import org.azureshed.idempotency.NodeInstance;
+import org.azureshed.model.NodeId;
 
 /** Splits hand-overs into messages and puts them together again. */
 final class HandOverParts {
@@ -34,6 +36,8 @@
                             .setRange(handOver.lease().range().number())
                             .setEpoch(handOver.lease().epoch())
                             .setSender(handOver.lease().holder().node().value())
+                            .setSenderIncarnation(handOver.lease().holder().incarnation())
+                            .setVersion(handOver.version())
                             .setPart(parts.size())
                             .setLast(to == records.size())
                             .setCompleteFromMillis(handOver.completeSinceMillis());
@@ -60,7 +64,7 @@
                 part.getPart() == parts.size()
                         && (parts.isEmpty()
                                 || (parts.getFirst().getEpoch() == part.getEpoch()
-                                        && parts.getFirst().getSender().equals(part.getSender())));
+                                        && sender(parts.getFirst()).equals(sender(part))));
         if (!next) {
             return Optional.empty();
         }
@@ -71,16 +75,30 @@
         open.remove(part.getRange());
         return leases.apply(new KeyRange(part.getRange()))
                 .filter(lease -> lease.epoch() == part.getEpoch())
-                .filter(lease -> lease.holder().node().value().equals(part.getSender()))
+                .filter(lease -> lease.holder().equals(sender(part)))
                 .map(lease -> joined(lease, parts));
     }
 
+    /**
+     * Epochs start anew after the platform was restored from an older copy, so only the incarnation
+     * tells a late hand-over from one of the current holder. Nodes of an older version send 0,
+     * which is no holder's; their successors take over as from a dead owner.
+     */
+    private static NodeInstance sender(RecordHandover part) {
+        return new NodeInstance(new NodeId(part.getSender()), part.getSenderIncarnation());
+    }
+
     private static HandOver joined(KeyRangeLease lease, List<RecordHandover> parts) {
         List<HandOver.Entry> records =
                 parts.stream()
                         .flatMap(part -> part.getRecordsList().stream())
                         .map(KeyMessages::decode)
                         .toList();
-        return new HandOver(lease, 0, parts.getFirst().getCompleteFromMillis(), 0, records);
+        return new HandOver(
+                lease,
+                parts.getFirst().getVersion(),
+                parts.getFirst().getCompleteFromMillis(),
+                0,
+                records);
     }
 }
