Count the starts of each key in the sample target

GET /starts on a sample target answers how often the work of each Idempotency-Key started there. A process test of the loss of a key's owner needs it to tell one start from two. That test is not part of this commit, because it has not passed as a whole yet.

--- a/src/main/java/org/azureshed/standin/SampleTargetHandler.java
+++ b/src/main/java/org/azureshed/standin/SampleTargetHandler.java
@@ -1,9 +1,12 @@
 package org.azureshed.standin;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -18,7 +21,8 @@
 /**
  * Answers of a sample target. Query parameters choose the behaviour: {@code ms} (time to take),
  * {@code bytes} (size of the body), {@code status}, {@code cut} (close the connection after that
- * many bytes of the body) and {@code crash} (halt the process).
+ * many bytes of the body) and {@code crash} (halt the process). The path {@code /starts} tells how
+ * often the work of each {@code Idempotency-Key} started.
  */
 final class SampleTargetHandler extends Handler.Abstract {
     private static final int CHUNK_BYTES = 16 * 1024;
@@ -31,6 +35,7 @@
     private final long workMillis;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicLong runs = new AtomicLong();
+    private final Map<String, Integer> starts = new ConcurrentSkipListMap<>();
 
     SampleTargetHandler(String id, int slots, long workMillis) {
         this.id = id;
@@ -78,7 +83,15 @@
     }
 
     private void run(Request request, Response response) throws Exception {
+        if (request.getHttpURI().getPath().equals("/starts")) {
+            writeJson(new ObjectMapper().writeValueAsString(starts), response);
+            return;
+        }
         long run = runs.incrementAndGet();
+        String key = request.getHeaders().get("Idempotency-Key");
+        if (key != null) {
+            starts.merge(key, 1, Integer::sum);
+        }
         Fields query = Request.extractQueryParameters(request);
         if (query.get("crash") != null) {
             Runtime.getRuntime().halt(CRASH_EXIT_CODE);
@@ -98,6 +111,10 @@
                                 request.getHttpURI().getPath(),
                                 run,
                                 bodyBytes);
+        writeJson(text, response);
+    }
+
+    private static void writeJson(String text, Response response) throws IOException {
         byte[] body = text.getBytes(StandardCharsets.UTF_8);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
