--- a/src/main/java/org/azureshed/idempotency/internal/KeyShell.java
+++ b/src/main/java/org/azureshed/idempotency/internal/KeyShell.java
@@ -31,8 +31,6 @@
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.platform.ObjectStore;
-import org.azureshed.platform.StoreError;
-import org.azureshed.platform.StoredObject;
 import org.azureshed.telemetry.EventLog;
 import org.azureshed.transport.ControlHandler;
 import org.azureshed.transport.ControlTransport;
@@ -49,23 +47,19 @@
 
     private static final Duration CONSENT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(1);
-    private static final long READ_INTERVAL_MILLIS = 1_000;
 
     /** Claims whose answer the reducer owes; it answers each at once. */
     private static final int MAX_OPEN_CLAIMS = 10_000;
 
     private final NodeInstance self;
-    private final ObjectStore store;
     private final ControlTransport transport;
     private final Function<NodeId, Optional<Endpoint>> addresses;
     private final Consumer<OwnerEvent> events;
     private final Map<ClaimId, Consumer<ClaimReply>> claims = new ConcurrentHashMap<>();
     private final Map<Long, ControlHandler.Replier> consents = new ConcurrentHashMap<>();
-    private final Map<KeyRange, KeyRangeLease> leases = new ConcurrentHashMap<>();
-    private final Map<KeyRange, Long> readMillis = new ConcurrentHashMap<>();
-    private final LeaseReader reader;
-    private final HandOverParts handOvers =
-            new HandOverParts(range -> Optional.ofNullable(leases.get(range)));
+    private final LeaseStore leases;
+    private final HandOverParts handOvers;
+    private final SuccessorNotices notices;
     private final AtomicLong lastToken = new AtomicLong();
     private volatile Thread ticks;
 
@@ -85,11 +79,12 @@
             Function<NodeId, Optional<Endpoint>> addresses,
             Consumer<OwnerEvent> events) {
         this.self = self;
-        this.store = store;
         this.transport = transport;
         this.addresses = addresses;
         this.events = events;
-        this.reader = new LeaseReader(store, events, this::remember);
+        this.leases = new LeaseStore(self, store, events);
+        this.handOvers = new HandOverParts(leases::known);
+        this.notices = new SuccessorNotices(transport, addresses, events);
     }
 
     /** Starts the ticks and the listing of leases. */
@@ -113,15 +108,15 @@
      */
     public void carryOut(OwnerEffect effect) {
         switch (effect) {
-            case OwnerEffect.ReadLease(KeyRange range) -> reader.request(range);
-            case OwnerEffect.WriteLease write -> Thread.ofVirtual().start(() -> write(write));
+            case OwnerEffect.ReadLease(KeyRange range) -> leases.request(range);
+            case OwnerEffect.WriteLease write ->
+                    Thread.ofVirtual().start(() -> leases.write(write));
             case OwnerEffect.AnswerClaim(ClaimId id, ClaimReply reply) ->
                     Optional.ofNullable(claims.remove(id)).ifPresent(to -> to.accept(reply));
             case OwnerEffect.AskConsent ask -> askConsent(ask);
             case OwnerEffect.AnswerConsent answer -> answerConsent(answer);
-            case OwnerEffect.NotifySuccessor ignored -> {
-                // Successors find their names in the listing; there is no control message for it.
-            }
+            case OwnerEffect.NotifySuccessor notice -> notices.send(notice);
+            case OwnerEffect.AnswerNotice answer -> notices.answer(answer);
             case OwnerEffect.SendHandOver(NodeInstance to, HandOver handOver) ->
                     Thread.ofVirtual().start(() -> handOver(to, handOver));
         }
@@ -156,6 +151,7 @@
                 }
                 case LEASE_CONSENT_REQUEST ->
                         consentRequested(message.getLeaseConsentRequest(), replier);
+                case SUCCESSOR_NOTICE -> notices.received(message.getSuccessorNotice(), replier);
                 case RECORD_HANDOVER -> {
                     handOvers
                             .add(message.getRecordHandover())
@@ -247,15 +243,7 @@
      * @return the lease, or empty if it is unknown
      */
     public Optional<KeyRangeLease> lease(KeyRange range, boolean outdated) {
-        KeyRangeLease known = leases.get(range);
-        long now = now();
-        Long readBefore = readMillis.get(range);
-        boolean readLately = readBefore != null && now - readBefore < READ_INTERVAL_MILLIS;
-        if (readLately || (known != null && !outdated)) {
-            return Optional.ofNullable(known);
-        }
-        readMillis.put(range, now);
-        return reader.read(range);
+        return leases.lease(range, outdated);
     }
 
     private void claim(Claim claim, Consumer<ClaimReply> reply) {
@@ -267,31 +255,6 @@
         events.accept(new OwnerEvent.ClaimReceived(claim, now()));
     }
 
-    private void write(OwnerEffect.WriteLease write) {
-        KeyRangeLease lease = write.lease();
-        Either<StoreError, StoredObject> written =
-                store.put(lease.range().objectKey(), lease.toJson(), write.expectedVersion());
-        events.accept(
-                written.fold(
-                        error -> failed(lease, error),
-                        object ->
-                                new OwnerEvent.WriteAccepted(
-                                        lease,
-                                        object.version(),
-                                        write.sentMillis(),
-                                        now(),
-                                        object.serverTimeMillis())));
-    }
-
-    private static OwnerEvent failed(KeyRangeLease lease, StoreError error) {
-        return switch (error) {
-            case StoreError.Conflict ignored -> new OwnerEvent.WriteRefused(lease, true, now());
-            case StoreError.Unavailable ignored -> new OwnerEvent.WriteRefused(lease, false, now());
-            case StoreError.RateLimited ignored -> new OwnerEvent.WriteRefused(lease, false, now());
-            default -> new OwnerEvent.WriteUnanswered(lease, now());
-        };
-    }
-
     private void handOver(NodeInstance to, HandOver handOver) {
         Optional<Endpoint> peer = addresses.apply(to.node());
         boolean sent = peer.isPresent();
@@ -380,7 +343,7 @@
             while (!Thread.currentThread().isInterrupted()) {
                 events.accept(new OwnerEvent.Tick(now()));
                 if (now() >= listDue) {
-                    list();
+                    Thread.ofVirtual().start(leases::list);
                     listDue = now() + ThreadLocalRandom.current().nextLong(2 * LIST_MILLIS);
                 }
                 Thread.sleep(TICK_MILLIS);
@@ -390,31 +353,6 @@
         }
     }
 
-    private void list() {
-        Thread.ofVirtual()
-                .start(
-                        () ->
-                                store.list(KeyRange.OBJECT_KIND)
-                                        .peek(
-                                                listing ->
-                                                        listing.objects().stream()
-                                                                .map(StoredObject::value)
-                                                                .map(KeyRangeLease::parse)
-                                                                .forEach(
-                                                                        l -> l.peek(this::found))));
-    }
-
-    private void found(KeyRangeLease lease) {
-        remember(lease);
-        if (lease.successors().contains(self)) {
-            events.accept(new OwnerEvent.NamedAsSuccessor(lease.range(), now()));
-        }
-    }
-
-    private void remember(KeyRangeLease lease) {
-        leases.merge(lease.range(), lease, (old, read) -> read.epoch() >= old.epoch() ? read : old);
-    }
-
     static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
