Wait for the second ejection in the floor test

Cause: twoBadTargetsLeaveTheFloor waited 25 s after the first ejection. A scratch copy without the floor check passed as well, since the second bad target had too little evidence by then; the test proved nothing.

Change: it waits 60 s.

Before: passes with and without the floor check (1 run each). After: passes with it; without it fails with 55% of the slots serving (1 run each).

Conclusion: the test now guards the floor.

--- a/src/test/java/org/azureshed/node/EjectionInFleetTest.java
+++ b/src/test/java/org/azureshed/node/EjectionInFleetTest.java
@@ -41,7 +41,7 @@
     private static final int FLOOR_PERCENT = 60;
 
     /** Without the floor the second bad target is ejected within this time. */
-    private static final int SECOND_EJECTION_SECONDS = 25;
+    private static final int SECOND_EJECTION_SECONDS = 60;
 
     private static URI page;
 
