--- a/src/test/java/org/azureshed/process/AsymmetricCutIT.java
+++ b/src/test/java/org/azureshed/process/AsymmetricCutIT.java
@@ -119,6 +119,16 @@
             other = fleet.newNode("other");
             hostRelay = new CuttableRelay(host.host());
             controlRelay = new CuttableRelay(host.control());
+            try {
+                start();
+            } catch (Exception | AssertionError e) {
+                // The processes would outlive the test.
+                close();
+                throw e;
+            }
+        }
+
+        private void start() throws Exception {
             fleet.startPlatform();
             fleet.startNode(entry);
             fleet.startBehind(host, hostRelay, controlRelay);
