Publish a node's record when it starts

A node published its record only when it changed, so a node without targets was never published; such nodes did not know each other (knownNodes=1 in status of each of five), and each took itself for the only node of its zone. Ruled out: the choice of relays (the reducer chooses 3 of 5 when the nodes are listed) and the end of a watch.

Change: the record is published at the start as well, one write for each start; a target that announces itself before the write is included in it.

--- a/src/main/java/org/azureshed/node/NodeShell.java
+++ b/src/main/java/org/azureshed/node/NodeShell.java
@@ -113,6 +113,8 @@
      */
     void start(Endpoint listener) {
         health.start();
+        // A node without targets changes nothing of its record, but the others have to know it.
+        publisher.publish(self);
         fleet.start(listener)
                 .peekLeft(
                         (TransportError error) -> {
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -130,6 +130,11 @@
         return application(node).snapshot().weightPercent(target);
     }
 
+    /** How many nodes a node knows, itself included. */
+    public int knownNodes(NodeSettings node) {
+        return application(node).snapshot().nodeCount();
+    }
+
     /** The name of the preset in force on a node. */
     public String activePreset(NodeSettings node) {
         return application(node).snapshot().active().orElseThrow().preset().name();
