Give processes ports outside the ephemeral range; wait for the cut

The product did what it shall; the check came early.

Change: ports are random below 32,768 and checked to be free. The test waits for the entry to notice the cut, within the same bound as for the return, and then checks status and metrics as before; the checks that no request fails or exceeds its deadline are unchanged.

--- a/src/main/java/org/azureshed/bench/ProcessFleet.java
+++ b/src/main/java/org/azureshed/bench/ProcessFleet.java
@@ -14,9 +14,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -34,6 +37,12 @@
     private static final int TARGET_SLOTS = 32;
 
     private static final long POLL_MILLIS = 25;
+    private static final int FIRST_PORT = 10_000;
+
+    /** Ports from here on are given to outgoing connections, also before a process listens. */
+    private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
+    private final Set<Integer> givenPorts = new HashSet<>();
 
     private final String name;
     private final HttpClient client =
@@ -189,9 +198,20 @@
         return LOGS.resolve(name + "-" + id + ".log");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    private int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+            if (givenPorts.add(port) && isFree(port)) {
+                return port;
+            }
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
         }
     }
 
--- a/src/test/java/org/azureshed/node/FleetInProcess.java
+++ b/src/test/java/org/azureshed/node/FleetInProcess.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.azureshed.model.NodeId;
@@ -31,6 +32,14 @@
 public final class FleetInProcess implements AutoCloseable {
     private static final long AWAIT_MILLIS = 20_000;
     private static final long POLL_MILLIS = 20;
+    private static final int FIRST_PORT = 10_000;
+
+    /**
+     * Ports from here on are given to outgoing connections; one of them may take the port before
+     * the process that it is meant for listens on it.
+     */
+    private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
     private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
 
     private final PlatformStandIn platform = new PlatformStandIn(0);
@@ -168,14 +177,21 @@
     /** A port that was free a moment ago; the kernel may offer the same one again soon. */
     public static int freePort() throws IOException {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0)) {
-                if (GIVEN_PORTS.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
-                }
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+            if (GIVEN_PORTS.add(port) && isFree(port)) {
+                return port;
             }
         }
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port)) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     /** The entry listener of a node. */
     public static URI entry(NodeSettings node) {
         return URI.create("http://127.0.0.1:" + node.entryPort());
--- a/src/test/java/org/azureshed/process/AsymmetricCutIT.java
+++ b/src/test/java/org/azureshed/process/AsymmetricCutIT.java
@@ -43,6 +43,11 @@
                 for (Load load : loads) {
                     assertFalse(load.answers().getLast().body().contains(TARGET_A), "cut off");
                 }
+                // An entry meets the cut only when it chooses the target; one did so after 5.8 s.
+                FleetProcesses.await(
+                        "the cut in the status of the entry",
+                        RETURN_BOUND,
+                        () -> !fixture.fleet.status(fixture.entry).path("badPaths").isEmpty());
                 // An operator must see the cut from the node alone.
                 JsonNode status = fixture.fleet.status(fixture.entry);
                 assertEquals("[\"host\"]", status.path("badPaths").toString());
