--- a/src/main/java/org/azureshed/idempotency/HandOverSteps.java
+++ b/src/main/java/org/azureshed/idempotency/HandOverSteps.java
@@ -60,7 +60,7 @@
                         .filter(
                                 known ->
                                         known.epoch() >= handOver.lease().epoch()
-                                                && !RangeState.sameTenure(known, handOver.lease()))
+                                                && !RangeState.sameTerm(known, handOver.lease()))
                         .isEmpty();
         boolean usable =
                 newest
--- a/src/main/java/org/azureshed/idempotency/LeaseSteps.java
+++ b/src/main/java/org/azureshed/idempotency/LeaseSteps.java
@@ -125,7 +125,7 @@
         SentWrite write = own.get();
         Optional<Holding> renewed =
                 range.holding()
-                        .filter(h -> RangeState.sameTenure(h.lease(), write.lease()))
+                        .filter(h -> RangeState.sameTerm(h.lease(), write.lease()))
                         .map(h -> h.renewed(write, version));
         if (renewed.isPresent()) {
             return seen.withHolding(renewed);
--- a/src/main/java/org/azureshed/idempotency/Tenure.java
+++ b/src/main/java/org/azureshed/idempotency/LeaseTerm.java
@@ -7,8 +7,8 @@
  * @param holder the owner
  * @param epoch epoch of its leases
  */
-public record Tenure(KeyRange range, NodeInstance holder, long epoch) {
-    static Tenure of(KeyRangeLease lease) {
-        return new Tenure(lease.range(), lease.holder(), lease.epoch());
+public record LeaseTerm(KeyRange range, NodeInstance holder, long epoch) {
+    static LeaseTerm of(KeyRangeLease lease) {
+        return new LeaseTerm(lease.range(), lease.holder(), lease.epoch());
     }
 }
--- a/src/main/java/org/azureshed/idempotency/NoticeSteps.java
+++ b/src/main/java/org/azureshed/idempotency/NoticeSteps.java
@@ -24,14 +24,12 @@
             return state;
         }
         Holding holding = range.holding().get();
-        Tenure tenure = Tenure.of(holding.lease());
+        LeaseTerm term = LeaseTerm.of(holding.lease());
         holding.notices()
                 .versions()
                 .forEach(
                         (successor, version) ->
-                                out.add(
-                                        new OwnerEffect.NotifySuccessor(
-                                                successor, tenure, version)));
+                                out.add(new OwnerEffect.NotifySuccessor(successor, term, version)));
         Notices sent = holding.notices().sent(now + timing.noticeEveryMillis());
         return state.with(range.withHolding(Optional.of(holding.withNotices(sent))));
     }
@@ -45,7 +43,7 @@
         boolean named =
                 current
                         && range.lease()
-                                .filter(lease -> Tenure.of(lease).equals(notice.lease()))
+                                .filter(lease -> LeaseTerm.of(lease).equals(notice.lease()))
                                 .filter(lease -> lease.successors().contains(state.self()))
                                 .isPresent();
         out.add(
@@ -64,7 +62,7 @@
     OwnerState acknowledged(OwnerState state, OwnerEvent.SuccessorAcknowledged answer) {
         RangeState range = state.range(answer.lease().range());
         return range.holding()
-                .filter(holding -> Tenure.of(holding.lease()).equals(answer.lease()))
+                .filter(holding -> LeaseTerm.of(holding.lease()).equals(answer.lease()))
                 .map(
                         holding ->
                                 holding.withNotices(
--- a/src/main/java/org/azureshed/idempotency/OwnerEffect.java
+++ b/src/main/java/org/azureshed/idempotency/OwnerEffect.java
@@ -36,7 +36,7 @@
      * @param lease range, holder and epoch of this node's lease
      * @param version version of the object that names the successor
      */
-    record NotifySuccessor(NodeInstance to, Tenure lease, long version) implements OwnerEffect {}
+    record NotifySuccessor(NodeInstance to, LeaseTerm lease, long version) implements OwnerEffect {}
 
     /**
      * Answers a notice.
@@ -46,7 +46,7 @@
      * @param version version that it has read; 0 if none
      * @param token token from the notice
      */
-    record AnswerNotice(Tenure lease, boolean named, long version, long token)
+    record AnswerNotice(LeaseTerm lease, boolean named, long version, long token)
             implements OwnerEffect {}
 
     /**
--- a/src/main/java/org/azureshed/idempotency/OwnerEvent.java
+++ b/src/main/java/org/azureshed/idempotency/OwnerEvent.java
@@ -112,7 +112,7 @@
      * @param token to be returned in the answer
      * @param nowMillis when
      */
-    record SuccessorNoticed(Tenure lease, long version, long token, long nowMillis)
+    record SuccessorNoticed(LeaseTerm lease, long version, long token, long nowMillis)
             implements OwnerEvent {}
 
     /**
@@ -123,7 +123,8 @@
      * @param version version that it has read
      * @param nowMillis when
      */
-    record SuccessorAcknowledged(Tenure lease, NodeInstance successor, long version, long nowMillis)
+    record SuccessorAcknowledged(
+            LeaseTerm lease, NodeInstance successor, long version, long nowMillis)
             implements OwnerEvent {}
 
     /**
--- a/src/main/java/org/azureshed/idempotency/RangeState.java
+++ b/src/main/java/org/azureshed/idempotency/RangeState.java
@@ -50,7 +50,7 @@
         Optional<HandOver> kept =
                 handOver.filter(
                         received ->
-                                newLease.filter(now -> sameTenure(now, received.lease()))
+                                newLease.filter(now -> sameTerm(now, received.lease()))
                                         .isPresent());
         return new RangeState(
                 range,
@@ -145,7 +145,7 @@
         return writes.exists(write -> !write.unanswered());
     }
 
-    static boolean sameTenure(KeyRangeLease first, KeyRangeLease second) {
+    static boolean sameTerm(KeyRangeLease first, KeyRangeLease second) {
         return first.epoch() == second.epoch() && first.holder().equals(second.holder());
     }
 }
--- a/src/main/java/org/azureshed/idempotency/internal/SuccessorNotices.java
+++ b/src/main/java/org/azureshed/idempotency/internal/SuccessorNotices.java
@@ -11,10 +11,10 @@
 import org.azureshed.generated.SuccessorNotice;
 import org.azureshed.generated.SuccessorNoticeReply;
 import org.azureshed.idempotency.KeyRange;
+import org.azureshed.idempotency.LeaseTerm;
 import org.azureshed.idempotency.NodeInstance;
 import org.azureshed.idempotency.OwnerEffect;
 import org.azureshed.idempotency.OwnerEvent;
-import org.azureshed.idempotency.Tenure;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.NodeId;
 import org.azureshed.transport.ControlHandler;
@@ -41,7 +41,7 @@
     }
 
     void send(OwnerEffect.NotifySuccessor notice) {
-        Tenure lease = notice.lease();
+        LeaseTerm lease = notice.lease();
         ControlMessage message =
                 ControlMessage.newBuilder()
                         .setSuccessorNotice(
@@ -72,8 +72,8 @@
     }
 
     void received(SuccessorNotice notice, ControlHandler.Replier replier) {
-        Tenure lease =
-                new Tenure(
+        LeaseTerm lease =
+                new LeaseTerm(
                         new KeyRange(notice.getRange()),
                         new NodeInstance(
                                 new NodeId(notice.getHolder()), notice.getHolderIncarnation()),
--- a/src/test/java/org/azureshed/idempotency/KeyProtocolModel.java
+++ b/src/test/java/org/azureshed/idempotency/KeyProtocolModel.java
@@ -256,13 +256,13 @@
     }
 
     /** Whether a holder still notifies a successor. */
-    private boolean open(int[] state, Tenure lease, NodeInstance successor) {
+    private boolean open(int[] state, LeaseTerm lease, NodeInstance successor) {
         for (int node = 0; node < scenario.nodes(); node++) {
             boolean waits =
                     node(state, node)
                             .range(range)
                             .holding()
-                            .filter(holding -> Tenure.of(holding.lease()).equals(lease))
+                            .filter(holding -> LeaseTerm.of(holding.lease()).equals(lease))
                             .filter(h -> h.notices().versions().containsKey(successor))
                             .isPresent();
             if (waits) {
--- a/src/test/java/org/azureshed/idempotency/KeyProtocolNodes.java
+++ b/src/test/java/org/azureshed/idempotency/KeyProtocolNodes.java
@@ -216,9 +216,13 @@
                                     Integer.parseInt(claim.entry().node().value()),
                                     (int) claim.number(),
                                     reply));
-            case OwnerEffect.NotifySuccessor(var to, Tenure lease, long version) ->
+            case OwnerEffect.NotifySuccessor(var to, LeaseTerm lease, long version) ->
                     toNode(state, to, new OwnerEvent.SuccessorNoticed(lease, version, 0, 0));
-            case OwnerEffect.AnswerNotice(Tenure lease, boolean named, long version, long token) ->
+            case OwnerEffect.AnswerNotice(
+                            LeaseTerm lease,
+                            boolean named,
+                            long version,
+                            long token) ->
                     named
                             ? toNode(
                                     state,
--- a/src/test/java/org/azureshed/idempotency/SuccessorNoticeTest.java
+++ b/src/test/java/org/azureshed/idempotency/SuccessorNoticeTest.java
@@ -23,7 +23,7 @@
     private final NodeInstance successor = new NodeInstance(new NodeId("successor"), 1);
     private final KeyRangeLease lease =
             new KeyRangeLease(RANGE, owner, 1, List.of(successor), 1, 0, PLATFORM_MILLIS);
-    private final Tenure tenure = Tenure.of(lease);
+    private final LeaseTerm term = LeaseTerm.of(lease);
     private final List<OwnerEffect> effects = new ArrayList<>();
 
     private OwnerState reduce(OwnerState state, OwnerEvent event) {
@@ -88,14 +88,14 @@
     /** A notice alone must not make a node a successor, nor be acknowledged before a read. */
     @Test
     void successorReadsTheObjectBeforeItAcknowledges() {
-        OwnerEvent notice = new OwnerEvent.SuccessorNoticed(tenure, 5, 7, 0);
+        OwnerEvent notice = new OwnerEvent.SuccessorNoticed(term, 5, 7, 0);
         OwnerState state = reduce(OwnerState.initial(successor), notice);
         assertEquals(1, sent(OwnerEffect.ReadLease.class).size());
         assertFalse(sent(OwnerEffect.AnswerNotice.class).getFirst().named());
         state = read(state, lease, 5, 0);
         state = reduce(state, notice);
         assertEquals(
-                List.of(new OwnerEffect.AnswerNotice(tenure, true, 5, 7)), effects, "no new read");
+                List.of(new OwnerEffect.AnswerNotice(term, true, 5, 7)), effects, "no new read");
         reduce(state, new OwnerEvent.Tick(TIMING.takeoverWaitMillis() - 1));
         assertEquals(List.of(), sent(OwnerEffect.WriteLease.class));
         reduce(state, new OwnerEvent.Tick(TIMING.takeoverWaitMillis()));
@@ -106,10 +106,10 @@
     @Test
     void objectThatNamesAnotherNodeOverrulesTheNotice() {
         KeyRangeLease other = new KeyRangeLease(RANGE, owner, 2, List.of(), 1, 0, PLATFORM_MILLIS);
-        OwnerEvent notice = new OwnerEvent.SuccessorNoticed(tenure, 5, 7, 0);
+        OwnerEvent notice = new OwnerEvent.SuccessorNoticed(term, 5, 7, 0);
         OwnerState state = reduce(OwnerState.initial(successor), notice);
         state = reduce(read(state, other, 6, 0), notice);
-        assertEquals(List.of(new OwnerEffect.AnswerNotice(tenure, false, 6, 7)), effects);
+        assertEquals(List.of(new OwnerEffect.AnswerNotice(term, false, 6, 7)), effects);
         state = reduce(state, new OwnerEvent.Tick(TIMING.renewEveryMillis()));
         assertTrue(state.ranges().isEmpty(), "the range must be forgotten");
     }
@@ -120,7 +120,7 @@
         KeyRangeLease other = new KeyRangeLease(RANGE, owner, 1, List.of(), 1, 0, PLATFORM_MILLIS);
         OwnerState state = OwnerState.initial(successor).withNow(0);
         state = read(state.with(state.range(RANGE)), other, 4, 0);
-        reduce(state, new OwnerEvent.SuccessorNoticed(tenure, 5, 7, 1));
+        reduce(state, new OwnerEvent.SuccessorNoticed(term, 5, 7, 1));
         assertEquals(List.of(new OwnerEffect.ReadLease(RANGE)), sent(OwnerEffect.ReadLease.class));
     }
 }
