Probe a bad path again while requests wait on it

With two targets and a floor of 60% the bad path to one of them stays in use. Requests on it were probed for only when its backoff of up to 32 s had ended, so they waited for their deadline; the logs show NODE_SILENT only at the ends of backoffs. A cut of 8 s mostly ended before.

Change: requests that have waited 1 s are probed for once a second, whether or not the path is bad; without an answer they go to another target. The backoff still bounds the probes of paths without requests. The test cuts the path for 25 s, longer than several backoffs and a deadline.

--- a/src/main/java/org/azureshed/proxy/PathProber.java
+++ b/src/main/java/org/azureshed/proxy/PathProber.java
@@ -100,7 +100,9 @@
 
     private void check(long now) {
         for (Waiting entry : waiting) {
-            if (now - entry.sinceNanos > WAITED_NANOS && mayProbe(entry.node.id(), now)) {
+            // Also on a bad path in its backoff, which the floor of a service may force into use.
+            boolean waited = now - entry.sinceNanos > WAITED_NANOS;
+            if (waited && !lastProbes.containsKey(entry.node.id())) {
                 probe(entry.node, now);
             }
         }
@@ -110,10 +112,6 @@
         paths.startProbes(now).forEach(id -> snapshot.node(id).ifPresent(n -> probe(n, now)));
     }
 
-    private boolean mayProbe(NodeId node, long now) {
-        return !paths.badPaths().contains(node) && !lastProbes.containsKey(node);
-    }
-
     private void probe(NodeInfo node, long now) {
         lastProbes.put(node.id(), now);
         if (underWay.add(node.id())) {
--- a/src/test/java/org/azureshed/process/AsymmetricCutIT.java
+++ b/src/test/java/org/azureshed/process/AsymmetricCutIT.java
@@ -17,7 +17,12 @@
 /** Guards against partitions of which one direction, or one kind of traffic, still works. */
 class AsymmetricCutIT {
     private static final Duration DEADLINE = Duration.ofSeconds(5);
-    private static final long CUT_SECONDS = 8;
+
+    /**
+     * Longer than several backoffs and a deadline. The floor of 60% forces a bad path to one of two
+     * targets into use; such requests once waited for their whole deadline.
+     */
+    private static final long CUT_SECONDS = 25;
 
     /** Longest backoff of a bad path, and two probes. */
     private static final Duration RETURN_BOUND = Duration.ofSeconds(32 + 2);
