--- /dev/null
+++ b/src/main/java/org/azureshed/directory/Directory.java
@@ -0,0 +1,130 @@
+package org.azureshed.directory;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.zip.CRC32C;
+
+/**
+ * All nodes and targets that this node has heard of. Entries are merged by incarnation and
+ * revision, so that nodes agree in whichever order they hear. Not thread-safe.
+ *
+ * <pre>{@code
+ * directory.merge(entry);
+ * List<NodeEntry> candidates = directory.usable("reader");
+ * }</pre>
+ */
+public final class Directory {
+    private final Map<String, NodeEntry> entries = new TreeMap<>();
+    private final Map<String, String> nodeByAddress = new HashMap<>();
+    private final Map<String, List<NodeEntry>> usableByService = new HashMap<>();
+
+    /**
+     * Takes over an entry if it is newer than the known one. An address belongs to the node that
+     * took it over last; the former holder's entry is dropped.
+     *
+     * @param entry an entry from its node, the store or another node
+     * @return true if the directory changed
+     */
+    public boolean merge(NodeEntry entry) {
+        checkNotNull(entry, "entry");
+        NodeEntry known = entries.get(entry.name());
+        if (known != null && !entry.supersedes(known)) {
+            return false;
+        }
+        String holderName = nodeByAddress.get(entry.address());
+        if (holderName != null && !holderName.equals(entry.name())) {
+            NodeEntry holder = entries.get(holderName);
+            if (holder != null && holder.incarnation() > entry.incarnation()) {
+                return false;
+            }
+            entries.remove(holderName);
+        }
+        if (known != null) {
+            nodeByAddress.remove(known.address(), known.name());
+        }
+        entries.put(entry.name(), entry);
+        nodeByAddress.put(entry.address(), entry.name());
+        usableByService.clear();
+        return true;
+    }
+
+    /**
+     * Forgets a node, for example because the store no longer lists it.
+     *
+     * @param name name of the node
+     */
+    public void remove(String name) {
+        NodeEntry removed = entries.remove(name);
+        if (removed != null) {
+            nodeByAddress.remove(removed.address(), name);
+            usableByService.clear();
+        }
+    }
+
+    /**
+     * The nodes whose target takes requests for a service.
+     *
+     * @param service name of the service
+     * @return entries with a usable target, in the order of their names
+     */
+    public List<NodeEntry> usable(String service) {
+        return usableByService.computeIfAbsent(service, this::findUsable);
+    }
+
+    /**
+     * Finds a node.
+     *
+     * @param name its name
+     * @return its entry, or empty if it is unknown
+     */
+    public Optional<NodeEntry> node(String name) {
+        return Optional.ofNullable(entries.get(name));
+    }
+
+    /**
+     * All entries.
+     *
+     * @return a view in the order of the names
+     */
+    public Collection<NodeEntry> nodes() {
+        return java.util.Collections.unmodifiableCollection(entries.values());
+    }
+
+    /**
+     * A digest over all entries; two nodes with the same digest know the same.
+     *
+     * @return a checksum of names, incarnations and revisions
+     */
+    public long digest() {
+        CRC32C checksum = new CRC32C();
+        entries.values().forEach(entry -> checksum.update(versionBytes(entry)));
+        return checksum.getValue();
+    }
+
+    private static byte[] versionBytes(NodeEntry entry) {
+        String version = entry.name() + '/' + entry.incarnation() + '/' + entry.revision() + '\n';
+        return version.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private List<NodeEntry> findUsable(String service) {
+        List<NodeEntry> found = new ArrayList<>();
+        for (NodeEntry entry : entries.values()) {
+            if (entry.target().filter(target -> serves(target, service)).isPresent()) {
+                found.add(entry);
+            }
+        }
+        return List.copyOf(found);
+    }
+
+    private static boolean serves(TargetEntry target, String service) {
+        return target.condition().usable() && target.service().equals(service);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -0,0 +1,375 @@
+package org.azureshed.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.NodeEntry;
+import org.azureshed.model.RefusalReason;
+
+/**
+ * Decides what happens to one request at the entry side, from its start to its only answer.
+ *
+ * <p>The request is offered to one target after another until one has a free slot, then queued at
+ * the target with the shortest wait. After a failure it is sent to another target only if it did
+ * not run, or may run twice and the retry budget allows it. A repeatable request without an answer
+ * by the route's target latency is sent to a second target, and the first answer counts.
+ *
+ * <p>Not thread-safe. Every call returns the effects to carry out, in order.
+ */
+public final class Exchange {
+    /** Offers without queueing per attempt; more would add load when all targets are busy. */
+    static final int MAX_IMMEDIATE_OFFERS = 12;
+
+    /** Targets asked to queue the request before it is refused. */
+    static final int MAX_QUEUE_OFFERS = 3;
+
+    /** Paths that may fail before the request is refused. */
+    static final int MAX_PATH_FAILURES = 6;
+
+    /** A retry or second attempt with less time left than this would not finish. */
+    private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    private static final long MIN_HEDGE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long MIN_RETRY_AFTER_MILLIS = 250;
+    private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final ForwardRoute route;
+    private final long startNanos;
+    private final long limitNanos;
+    private final double spread;
+    private final RetryShare retries;
+    private final List<NodeEntry> candidates;
+
+    private final Map<Integer, Attempt> attempts = new HashMap<>();
+    private final Set<String> reached = new HashSet<>();
+    private final Set<String> refusedNow = new HashSet<>();
+    private final Map<String, Long> queueWaitMillis = new HashMap<>();
+    private final Set<String> suspects = new HashSet<>();
+    private final List<ExchangeEffect> effects = new ArrayList<>();
+    private RefusalReason lastRefusal = RefusalReason.NO_TARGET;
+    private int nextAttempt;
+    private int immediateOffers;
+    private int queueOffers;
+    private int pathFailures;
+    private int sent;
+    private boolean mayHaveRun;
+    private boolean hedged;
+    private boolean done;
+
+    /** An attempt under way. */
+    private static final class Attempt {
+        private final NodeEntry node;
+        private final OfferMode mode;
+        private boolean admitted;
+
+        Attempt(NodeEntry node, OfferMode mode) {
+            this.node = node;
+            this.mode = mode;
+        }
+    }
+
+    /**
+     * Creates the decision for one request.
+     *
+     * @param route its route
+     * @param candidates targets of its service, best first
+     * @param retries this node's part of the service's retry budget
+     * @param startNanos when the request arrived
+     * @param limitNanos when its answer must be on the way
+     * @param spread random number from 0 to 1 that spreads the return of refused callers
+     */
+    public Exchange(
+            ForwardRoute route,
+            List<NodeEntry> candidates,
+            RetryShare retries,
+            long startNanos,
+            long limitNanos,
+            double spread) {
+        this.route = route;
+        this.candidates = List.copyOf(candidates);
+        this.retries = retries;
+        this.startNanos = startNanos;
+        this.limitNanos = limitNanos;
+        this.spread = spread;
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event what happened
+     * @param nowNanos current time
+     * @return what to do, in order; empty after the final answer
+     */
+    public List<ExchangeEffect> handle(ExchangeEvent event, long nowNanos) {
+        if (done) {
+            return List.of();
+        }
+        effects.clear();
+        switch (event) {
+            case ExchangeEvent.Started ignored -> {
+                retries.requestStarted();
+                offerNext(nowNanos);
+                wake(nowNanos);
+            }
+            case ExchangeEvent.Admitted admitted -> onAdmitted(admitted, nowNanos);
+            case ExchangeEvent.Refused refused -> onRefused(refused, nowNanos);
+            case ExchangeEvent.PathFailed failed -> onPathFailed(failed, nowNanos);
+            case ExchangeEvent.Shed shed -> onShed(shed, nowNanos);
+            case ExchangeEvent.Lost lost -> onLost(lost, nowNanos);
+            case ExchangeEvent.Answered answered -> onAnswered(answered, nowNanos);
+            case ExchangeEvent.Woke ignored -> onWoke(nowNanos);
+        }
+        return List.copyOf(effects);
+    }
+
+    /**
+     * Whether the final answer has been decided.
+     *
+     * @return true if no more effects follow
+     */
+    public boolean done() {
+        return done;
+    }
+
+    /**
+     * Times that the request was sent to a target.
+     *
+     * @return 0 if no target has received it
+     */
+    public int sent() {
+        return sent;
+    }
+
+    private void onAdmitted(ExchangeEvent.Admitted event, long nowNanos) {
+        Attempt attempt = attempts.get(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        attempt.admitted = true;
+        sent++;
+        mayHaveRun = true;
+        reached.add(attempt.node.name());
+        wake(nowNanos);
+    }
+
+    private void onRefused(ExchangeEvent.Refused event, long nowNanos) {
+        Attempt attempt = attempts.remove(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        HostRefusal refusal = event.refusal();
+        lastRefusal = refusal.reason();
+        String name = attempt.node.name();
+        refusedNow.add(name);
+        if (refusal.suspect()) {
+            suspects.add(name);
+        }
+        if (refusal.reason() == RefusalReason.QUEUE_FULL && attempt.mode == OfferMode.IMMEDIATE) {
+            queueWaitMillis.put(name, refusal.waitMillis());
+        } else if (attempt.mode != OfferMode.IMMEDIATE) {
+            queueWaitMillis.remove(name);
+            suspects.remove(name);
+        }
+        offerNext(nowNanos);
+    }
+
+    private void onPathFailed(ExchangeEvent.PathFailed event, long nowNanos) {
+        Attempt attempt = attempts.remove(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        lastRefusal = RefusalReason.NODE_UNREACHABLE;
+        refusedNow.add(attempt.node.name());
+        queueWaitMillis.remove(attempt.node.name());
+        pathFailures++;
+        offerNext(nowNanos);
+    }
+
+    private void onShed(ExchangeEvent.Shed event, long nowNanos) {
+        Attempt attempt = attempts.remove(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        lastRefusal = event.reason();
+        refusedNow.add(attempt.node.name());
+        queueWaitMillis.remove(attempt.node.name());
+        // A shed request has not run, but its arrival counts like that of a repeat.
+        mayHaveRun = attempts.values().stream().anyMatch(other -> other.admitted) || lostBefore;
+        if (retryAllowed(nowNanos)) {
+            offerNext(nowNanos);
+        } else {
+            finishIfIdle(nowNanos, GATEWAY_TIMEOUT, "shed");
+        }
+    }
+
+    private boolean lostBefore;
+
+    private void onLost(ExchangeEvent.Lost event, long nowNanos) {
+        Attempt attempt = attempts.remove(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        lostBefore = true;
+        refusedNow.add(attempt.node.name());
+        if (route.repeatable() && attempts.isEmpty() && retryAllowed(nowNanos)) {
+            offerNext(nowNanos);
+        } else {
+            finishIfIdle(nowNanos, BAD_GATEWAY, "target failed without an answer");
+        }
+    }
+
+    private void onAnswered(ExchangeEvent.Answered event, long nowNanos) {
+        Attempt attempt = attempts.get(event.attempt());
+        if (attempt == null) {
+            return;
+        }
+        boolean retriable =
+                event.status() >= FIRST_SERVER_ERROR
+                        && event.status() != GATEWAY_TIMEOUT
+                        && route.repeatable();
+        if (retriable && attempts.size() > 1) {
+            attempts.remove(event.attempt());
+            lostBefore = true;
+            return;
+        }
+        if (retriable && retryAllowed(nowNanos)) {
+            attempts.remove(event.attempt());
+            lostBefore = true;
+            refusedNow.add(attempt.node.name());
+            offerNext(nowNanos);
+            return;
+        }
+        attempts.remove(event.attempt());
+        cancelAll();
+        done = true;
+        effects.add(new ExchangeEffect.Deliver(event.attempt()));
+    }
+
+    private void onWoke(long nowNanos) {
+        if (nowNanos - limitNanos >= 0) {
+            boolean unknown = mayHaveRun || lostBefore;
+            cancelAll();
+            done = true;
+            effects.add(
+                    unknown
+                            ? new ExchangeEffect.Fail(GATEWAY_TIMEOUT, "deadline")
+                            : new ExchangeEffect.Refuse(
+                                    RefusalReason.DEADLINE_EXCEEDED, retryAfterMillis()));
+            return;
+        }
+        if (hedgeDue(nowNanos) && retryAllowed(nowNanos)) {
+            hedged = true;
+            offerNext(nowNanos);
+        }
+        wake(nowNanos);
+    }
+
+    private boolean hedgeDue(long nowNanos) {
+        return route.repeatable()
+                && !hedged
+                && attempts.size() == 1
+                && attempts.values().iterator().next().admitted
+                && nowNanos - hedgeNanos() >= 0;
+    }
+
+    private long hedgeNanos() {
+        return startNanos
+                + Math.max(
+                        MIN_HEDGE_NANOS,
+                        TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
+    }
+
+    private void wake(long nowNanos) {
+        boolean hedgePossible = route.repeatable() && !hedged && nowNanos - hedgeNanos() < 0;
+        long next = hedgePossible ? Math.min(hedgeNanos(), limitNanos) : limitNanos;
+        effects.add(new ExchangeEffect.WakeAt(next));
+    }
+
+    /** Whether the request may be sent once more; takes a token of the budget if so. */
+    private boolean retryAllowed(long nowNanos) {
+        return sent < route.attempts()
+                && limitNanos - nowNanos > MIN_RETRY_NANOS
+                && retries.tryRetry(nowNanos);
+    }
+
+    private void offerNext(long nowNanos) {
+        if (immediateOffers < MAX_IMMEDIATE_OFFERS && pathFailures < MAX_PATH_FAILURES) {
+            for (NodeEntry node : candidates) {
+                if (!refusedNow.contains(node.name()) && !reached.contains(node.name())) {
+                    immediateOffers++;
+                    offer(node, OfferMode.IMMEDIATE);
+                    return;
+                }
+            }
+        }
+        NodeEntry shortest = shortestQueue();
+        if (shortest != null && queueOffers < MAX_QUEUE_OFFERS) {
+            queueOffers++;
+            queueWaitMillis.remove(shortest.name());
+            offer(shortest, OfferMode.QUEUE);
+            return;
+        }
+        for (NodeEntry node : candidates) {
+            if (suspects.remove(node.name()) && queueOffers < MAX_QUEUE_OFFERS) {
+                queueOffers++;
+                offer(node, OfferMode.FORCE);
+                return;
+            }
+        }
+        finishIfIdle(nowNanos, BAD_GATEWAY, "no further target for a failed request");
+    }
+
+    private NodeEntry shortestQueue() {
+        NodeEntry best = null;
+        long bestWait = Long.MAX_VALUE;
+        for (NodeEntry node : candidates) {
+            Long wait = queueWaitMillis.get(node.name());
+            if (wait != null && wait < bestWait) {
+                best = node;
+                bestWait = wait;
+            }
+        }
+        return best;
+    }
+
+    private void offer(NodeEntry node, OfferMode mode) {
+        int number = nextAttempt++;
+        attempts.put(number, new Attempt(node, mode));
+        effects.add(new ExchangeEffect.Offer(number, node, mode));
+    }
+
+    private void finishIfIdle(long nowNanos, int status, String cause) {
+        if (!attempts.isEmpty()) {
+            return;
+        }
+        done = true;
+        if (lostBefore) {
+            effects.add(new ExchangeEffect.Fail(status, cause));
+        } else {
+            effects.add(new ExchangeEffect.Refuse(lastRefusal, retryAfterMillis()));
+        }
+    }
+
+    private long retryAfterMillis() {
+        long shortest =
+                queueWaitMillis.values().stream()
+                        .mapToLong(Long::longValue)
+                        .min()
+                        .orElse(MIN_RETRY_AFTER_MILLIS);
+        long bounded =
+                Math.clamp(shortest, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS / 2);
+        return bounded + (long) (spread * bounded);
+    }
+
+    private void cancelAll() {
+        attempts.keySet().forEach(number -> effects.add(new ExchangeEffect.Cancel(number)));
+        attempts.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
@@ -0,0 +1,97 @@
+package org.azureshed.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The configuration in force: routes and the limits of callers' connections. Immutable.
+ *
+ * <pre>{@code
+ * Optional<ForwardRoute> route = configuration.route("shop.example", "/cart/7?full=1");
+ * }</pre>
+ */
+public final class TrafficConfiguration {
+    private final long version;
+    private final CallerLimits limits;
+    private final Map<String, List<ForwardRoute>> routesByHost;
+
+    /**
+     * Bounds of what callers may send.
+     *
+     * @param maxHeaderBytes bytes of the request line and headers
+     * @param maxBodyBytes bytes of a body
+     * @param headerTimeoutMillis longest time from the first byte to the end of the headers
+     * @param idleTimeoutMillis time after which an idle connection is closed
+     */
+    public record CallerLimits(
+            int maxHeaderBytes,
+            long maxBodyBytes,
+            long headerTimeoutMillis,
+            long idleTimeoutMillis) {}
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version its version; later configurations have higher ones
+     * @param routes all routes
+     * @param limits bounds of callers' connections
+     */
+    public TrafficConfiguration(long version, List<ForwardRoute> routes, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        Map<String, List<ForwardRoute>> byHost = new HashMap<>();
+        routes.stream()
+                .sorted(
+                        Comparator.comparingInt((ForwardRoute route) -> route.pathPrefix().length())
+                                .reversed())
+                .forEach(
+                        route ->
+                                byHost.computeIfAbsent(
+                                                route.host(), key -> new java.util.ArrayList<>())
+                                        .add(route));
+        this.routesByHost = byHost;
+    }
+
+    /**
+     * Finds the route with the longest prefix of the path.
+     *
+     * @param hostHeader value of the Host header, with or without a port
+     * @param uri path and query of the request
+     * @return the route, or empty if the configuration has none for it
+     */
+    public Optional<ForwardRoute> route(String hostHeader, String uri) {
+        int colon = hostHeader.lastIndexOf(':');
+        String host = (colon < 0 ? hostHeader : hostHeader.substring(0, colon)).trim();
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        for (ForwardRoute route :
+                routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Its version.
+     *
+     * @return a number that grows from configuration to configuration
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Bounds of callers' connections.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -0,0 +1,249 @@
+package org.azureshed.host;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.Condition;
+import org.azureshed.directory.TargetEntry;
+import org.azureshed.dispatch.HostRefusal;
+import org.azureshed.dispatch.OfferMode;
+import org.azureshed.model.RefusalReason;
+
+/**
+ * Slots and queue of the target beside this node. All requests to the target pass through it, so it
+ * knows the free slots without asking the target. Not thread-safe.
+ *
+ * <p>A request waits only if it is expected to finish before its limit; otherwise it is refused at
+ * once. Waiting requests are served by priority, then by the time they have left.
+ */
+public final class HostGate {
+    /** Waiting requests per slot; a longer queue would only hold requests that time out. */
+    private static final int MAX_QUEUE_PER_SLOT = 6;
+
+    /** Assumed run time before the first run. */
+    private static final double DEFAULT_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final TargetHealth health = new TargetHealth();
+    private final Map<Long, Offered> running = new HashMap<>();
+    private final PriorityQueue<Offered> queue =
+            new PriorityQueue<>(
+                    Comparator.comparingInt(Offered::priority)
+                            .thenComparingLong(Offered::limitNanos)
+                            .thenComparingLong(Offered::id));
+    private Optional<TargetEntry> target = Optional.empty();
+    private boolean nodeStopping;
+
+    /** A waiting request that got a slot, or was refused. */
+    public record Settled(Offered offered, Admittance admittance) {}
+
+    /**
+     * Applies what the target said about itself.
+     *
+     * @param announced the target, or empty if there is none
+     * @return waiting requests that are decided by it
+     */
+    public List<Settled> apply(Optional<TargetEntry> announced) {
+        boolean replaced =
+                target.isPresent()
+                        && announced.isPresent()
+                        && !(target.get().id().equals(announced.get().id())
+                                && target.get().bornMillis() == announced.get().bornMillis());
+        target = announced;
+        if (replaced || announced.isEmpty() || !announced.get().condition().usable()) {
+            return refuseAll(RefusalReason.TARGET_DRAINING);
+        }
+        return fill(0);
+    }
+
+    /**
+     * Refuses all new requests from now on, because the node stops.
+     *
+     * @return waiting requests, which are refused
+     */
+    public List<Settled> stop() {
+        nodeStopping = true;
+        return refuseAll(RefusalReason.NODE_DRAINING);
+    }
+
+    /**
+     * Decides about an offered request.
+     *
+     * @param offered the request
+     * @param nowNanos current time
+     * @return whether it is admitted, queued or refused
+     */
+    public Admittance offer(Offered offered, long nowNanos) {
+        Optional<RefusalReason> closed = closedReason(offered);
+        if (closed.isPresent()) {
+            return refused(closed.get(), 0, false);
+        }
+        if (health.condition(nowNanos) == Condition.SUSPECT && offered.mode() != OfferMode.FORCE) {
+            boolean trial = offered.repeatable() && hasFreeSlot() && health.startTrial(nowNanos);
+            if (!trial) {
+                return refused(RefusalReason.TARGET_SHED, 0, true);
+            }
+        }
+        if (hasFreeSlot() && queue.isEmpty()) {
+            running.put(offered.id(), offered);
+            return new Admittance.Admitted();
+        }
+        double waitNanos = expectedWaitNanos(offered);
+        boolean fits = nowNanos + waitNanos + runNanos() <= offered.limitNanos();
+        boolean room = queue.size() < MAX_QUEUE_PER_SLOT * slots();
+        if (offered.mode() == OfferMode.IMMEDIATE || !fits || !room) {
+            return refused(
+                    RefusalReason.QUEUE_FULL, (long) (waitNanos / NANOS_PER_MILLI), false);
+        }
+        queue.add(offered);
+        return new Admittance.Queued();
+    }
+
+    /**
+     * Ends a run or a reservation and fills the free slot.
+     *
+     * @param offered the request that was admitted
+     * @param result how it ended
+     * @param runNanos how long it ran
+     * @param nowNanos current time
+     * @return waiting requests that are decided by it
+     */
+    public List<Settled> release(
+            Offered offered, RunResult result, long runNanos, long nowNanos) {
+        if (running.remove(offered.id()) == null) {
+            return List.of();
+        }
+        health.ended(result, runNanos, nowNanos);
+        return fill(nowNanos);
+    }
+
+    /**
+     * Removes a waiting request whose caller is gone.
+     *
+     * @param offered the request
+     * @return true if it was waiting
+     */
+    public boolean withdraw(Offered offered) {
+        return queue.remove(offered);
+    }
+
+    /**
+     * Refuses waiting requests that can no longer finish in time.
+     *
+     * @param nowNanos current time
+     * @return the refused requests
+     */
+    public List<Settled> expire(long nowNanos) {
+        List<Settled> expired = new ArrayList<>();
+        for (Offered offered : List.copyOf(queue)) {
+            if (nowNanos + runNanos() / 2 > offered.limitNanos()) {
+                queue.remove(offered);
+                expired.add(
+                        new Settled(offered, refused(RefusalReason.QUEUE_TIMEOUT, 0, false)));
+            }
+        }
+        return expired;
+    }
+
+    /**
+     * What other nodes should know about the target.
+     *
+     * @param nowNanos current time
+     * @return the target with its condition as announced and as judged, whichever is worse
+     */
+    public Optional<TargetEntry> published(long nowNanos) {
+        Condition judged = health.condition(nowNanos);
+        return target.map(
+                entry ->
+                        entry.condition().compareTo(judged) < 0
+                                ? entry.withCondition(judged)
+                                : entry);
+    }
+
+    /**
+     * Requests that hold a slot.
+     *
+     * @return their number
+     */
+    public int runningCount() {
+        return running.size();
+    }
+
+    /**
+     * Requests that wait for a slot.
+     *
+     * @return their number
+     */
+    public int waitingCount() {
+        return queue.size();
+    }
+
+    private Optional<RefusalReason> closedReason(Offered offered) {
+        if (nodeStopping) {
+            return Optional.of(RefusalReason.NODE_DRAINING);
+        }
+        if (target.isEmpty() || !target.get().id().equals(offered.targetId())) {
+            return Optional.of(RefusalReason.TARGET_UNKNOWN);
+        }
+        return target.get().condition().usable()
+                ? Optional.empty()
+                : Optional.of(RefusalReason.TARGET_DRAINING);
+    }
+
+    private List<Settled> fill(long nowNanos) {
+        List<Settled> admitted = new ArrayList<>();
+        while (hasFreeSlot() && !queue.isEmpty()) {
+            Offered next = queue.poll();
+            running.put(next.id(), next);
+            admitted.add(new Settled(next, new Admittance.Admitted()));
+        }
+        return admitted;
+    }
+
+    private List<Settled> refuseAll(RefusalReason reason) {
+        List<Settled> refused =
+                queue.stream()
+                        .map(offered -> new Settled(offered, refused(reason, 0, false)))
+                        .toList();
+        queue.clear();
+        return refused;
+    }
+
+    private static Admittance refused(RefusalReason reason, long waitMillis, boolean suspect) {
+        return new Admittance.Refused(new HostRefusal(reason, waitMillis, suspect));
+    }
+
+    private boolean hasFreeSlot() {
+        return running.size() < slots();
+    }
+
+    private int slots() {
+        return target.map(TargetEntry::slots).orElse(0);
+    }
+
+    /**
+     * Mean time of recent runs.
+     *
+     * @return nanoseconds
+     */
+    public double runNanos() {
+        return health.recentNanos(DEFAULT_RUN_NANOS);
+    }
+
+    private double expectedWaitNanos(Offered offered) {
+        long ahead = queue.stream().filter(other -> isBefore(other, offered)).count();
+        return (ahead + 1) * runNanos() / Math.max(1, slots());
+    }
+
+    private static boolean isBefore(Offered one, Offered other) {
+        return one.priority() != other.priority()
+                ? one.priority() < other.priority()
+                : one.limitNanos() <= other.limitNanos();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/host/Offered.java
@@ -0,0 +1,21 @@
+package org.azureshed.host;
+
+import org.azureshed.dispatch.OfferMode;
+
+/**
+ * A request that a node offers to the target beside this one.
+ *
+ * @param id names the offer; unique at this node
+ * @param targetId the target that the offering node means
+ * @param mode what may be done with it
+ * @param priority rank; 0 is served first
+ * @param repeatable whether it may run more than once
+ * @param limitNanos when its answer must be on the way
+ */
+public record Offered(
+        long id,
+        String targetId,
+        OfferMode mode,
+        int priority,
+        boolean repeatable,
+        long limitNanos) {}
--- /dev/null
+++ b/src/main/java/org/azureshed/host/RunResult.java
@@ -0,0 +1,11 @@
+package org.azureshed.host;
+
+/** How a run at the target ended, for judging the target. */
+public enum RunResult {
+    /** A whole answer without a server error. */
+    SUCCESS,
+    /** A server error, or no whole answer. */
+    FAILURE,
+    /** Nothing can be said: cancelled, never sent, or its deadline passed. */
+    NEUTRAL
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/platform/ConfigurationDecoder.java
@@ -0,0 +1,87 @@
+package org.azureshed.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.azureshed.dispatch.ForwardRoute;
+import org.azureshed.dispatch.TrafficConfiguration;
+
+/** Reads the configuration as the operator writes it: one list of typed resources. */
+final class ConfigurationDecoder {
+    private static final String VERSION_PREFIX = "r";
+
+    private ConfigurationDecoder() {}
+
+    /**
+     * Reads a configuration.
+     *
+     * @param json content of the operator's object
+     * @return the configuration
+     * @throws IllegalArgumentException if it is not a valid configuration; the message says why
+     */
+    static TrafficConfiguration decode(JsonNode json) {
+        List<ForwardRoute> routes = new ArrayList<>();
+        TrafficConfiguration.CallerLimits limits = null;
+        for (JsonNode resource : json.path("resources")) {
+            JsonNode content = resource.path("specification");
+            switch (resource.path("resourceType").asText()) {
+                case "routes" ->
+                        routes.add(route(resource.path("metadata").path("name").asText(), content));
+                case "limits" -> limits = limits(content);
+                default -> {
+                    // Services hold only what their targets say about themselves.
+                }
+            }
+        }
+        if (limits == null) {
+            throw new IllegalArgumentException("the configuration has no limits");
+        }
+        return new TrafficConfiguration(version(json.path("version").asText()), routes, limits);
+    }
+
+    private static long version(String text) {
+        if (!text.startsWith(VERSION_PREFIX)) {
+            throw new IllegalArgumentException("malformed version: " + text);
+        }
+        return Long.parseLong(text.substring(VERSION_PREFIX.length()));
+    }
+
+    private static ForwardRoute route(String name, JsonNode json) {
+        return new ForwardRoute(
+                name,
+                json.path("host").asText().toLowerCase(Locale.ROOT),
+                json.path("pathPrefix").asText(),
+                isRepeatable(json.path("kind").asText()),
+                json.path("timeoutMs").asLong(),
+                json.path("targetLatencyMs").asLong(),
+                json.path("priority").asInt(),
+                json.path("attempts").asInt(1),
+                shares(json));
+    }
+
+    private static boolean isRepeatable(String kind) {
+        return kind.equals("idempotent") || kind.equals("download");
+    }
+
+    private static List<ForwardRoute.Share> shares(JsonNode json) {
+        if (json.hasNonNull("service")) {
+            return List.of(new ForwardRoute.Share(json.get("service").asText(), 1));
+        }
+        List<ForwardRoute.Share> shares = new ArrayList<>();
+        for (JsonNode part : json.path("trafficSplit")) {
+            shares.add(
+                    new ForwardRoute.Share(
+                            part.path("service").asText(), part.path("weight").asDouble()));
+        }
+        return shares;
+    }
+
+    private static TrafficConfiguration.CallerLimits limits(JsonNode json) {
+        return new TrafficConfiguration.CallerLimits(
+                json.path("maxHeaderBytes").asInt(),
+                json.path("maxBodyBytes").asLong(),
+                json.path("headerTimeoutMs").asLong(),
+                json.path("idleTimeoutMs").asLong());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/platform/HeartbeatCalls.java
@@ -0,0 +1,95 @@
+package org.azureshed.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.azureshed.directory.Heartbeat;
+import org.azureshed.model.TargetState;
+import org.azureshed.sidecar.TargetIntake;
+import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.traffic.ControlCalls;
+
+/** The calls by which the local target announces itself and leaves. */
+final class HeartbeatCalls implements ControlCalls {
+    private static final String PATH = "/instances/";
+    private static final Reply ACKNOWLEDGED =
+            new Reply(200, "application/json", "{}".getBytes(StandardCharsets.UTF_8));
+
+    private final ObjectMapper json = new ObjectMapper();
+    private final TargetIntake intake;
+    private final DecisionLog log;
+
+    HeartbeatCalls(TargetIntake intake, DecisionLog log) {
+        this.intake = intake;
+        this.log = log;
+    }
+
+    @Override
+    public void handle(String method, String path, byte[] body, Consumer<Reply> reply) {
+        if (!path.startsWith(PATH) || path.length() == PATH.length()) {
+            reply.accept(Reply.of(404));
+            return;
+        }
+        String id = path.substring(PATH.length());
+        Runnable acknowledge = () -> reply.accept(ACKNOWLEDGED);
+        try {
+            switch (method) {
+                case "PUT" -> intake.heartbeat(heartbeat(id, json.readTree(body)), acknowledge);
+                case "DELETE" ->
+                        intake.departed(
+                                id,
+                                body.length == 0 ? 0 : born(json.readTree(body)),
+                                acknowledge);
+                default -> reply.accept(Reply.of(405));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            log.write("heartbeat_unreadable", "target", id, "cause", e.getMessage());
+            reply.accept(Reply.of(400));
+        }
+    }
+
+    private static Heartbeat heartbeat(String id, JsonNode json) {
+        JsonNode info = json.path("info");
+        JsonNode status = json.path("status");
+        return new Heartbeat(
+                id,
+                born(json),
+                whole(status, "sequence"),
+                text(json, "address"),
+                text(info, "service"),
+                (int) whole(info, "slots"),
+                state(text(status, "state")),
+                status.has("warmupLeftMs") ? whole(status, "warmupLeftMs") : 0);
+    }
+
+    private static TargetState state(String text) {
+        return switch (text) {
+            case "ready" -> TargetState.READY;
+            case "draining" -> TargetState.DRAINING;
+            default -> throw new IllegalArgumentException("unknown state " + text);
+        };
+    }
+
+    /** Unix time of the target's start in milliseconds; 0 if it does not tell. */
+    private static long born(JsonNode json) {
+        return json.has("born") ? whole(json, "born") : 0;
+    }
+
+    private static long whole(JsonNode json, String field) {
+        JsonNode value = json.path(field);
+        if (!value.isNumber() || value.doubleValue() != Math.rint(value.doubleValue())) {
+            throw new IllegalArgumentException(field + " is not a whole number");
+        }
+        return value.longValue();
+    }
+
+    private static String text(JsonNode json, String field) {
+        JsonNode value = json.path(field);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException(field + " is not a text");
+        }
+        return value.textValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -0,0 +1,175 @@
+package org.azureshed.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.azureshed.sidecar.FleetStore;
+import org.azureshed.traffic.SmallCalls;
+
+/** The store's calls over HTTP. */
+final class PlatformStore implements FleetStore {
+    /** The store answers within milliseconds; slower than this it counts as away. */
+    private static final long ANSWER_MILLIS = 1_500;
+
+    private static final byte[] NOTHING = {};
+
+    private final ObjectMapper json = new ObjectMapper();
+    private final SmallCalls calls;
+    private final String address;
+    private final Consumer<String> onResult;
+
+    /**
+     * Creates a client.
+     *
+     * @param calls sends the calls
+     * @param address IP address and port of the store
+     * @param onResult hears the kind of each result, for metrics
+     */
+    PlatformStore(SmallCalls calls, String address, Consumer<String> onResult) {
+        this.calls = calls;
+        this.address = address;
+        this.onResult = onResult;
+    }
+
+    @Override
+    public void read(String kind, String name, Consumer<Result> done) {
+        call("GET", path(kind, name), NOTHING, ANSWER_MILLIS, body -> single(kind, body), done);
+    }
+
+    @Override
+    public void list(String kind, String after, boolean allowStale, Consumer<Result> done) {
+        String query =
+                (after.isEmpty() ? "" : "&after=" + encoded(after))
+                        + (allowStale ? "&allowStale=1" : "");
+        String path = path(kind) + (query.isEmpty() ? "" : "?" + query.substring(1));
+        call("GET", path, NOTHING, ANSWER_MILLIS, body -> page(kind, body), done);
+    }
+
+    @Override
+    public void watch(String kind, long revision, long waitMillis, Consumer<Result> done) {
+        String path = path(kind) + "?watch=" + revision + "&waitMs=" + waitMillis;
+        call("GET", path, NOTHING, waitMillis + ANSWER_MILLIS, body -> events(kind, body), done);
+    }
+
+    @Override
+    public void create(String kind, String name, JsonNode content, Consumer<Result> done) {
+        byte[] body = bytes(name, content);
+        call("POST", path(kind), body, ANSWER_MILLIS, answer -> single(kind, answer), done);
+    }
+
+    @Override
+    public void replace(String kind, String name, JsonNode content, Consumer<Result> done) {
+        byte[] body = bytes(name, content);
+        call("PUT", path(kind, name), body, ANSWER_MILLIS, answer -> single(kind, answer), done);
+    }
+
+    /** Reads the body of a call that was carried out. */
+    private interface BodyReader {
+        Result read(JsonNode body);
+    }
+
+    private void call(
+            String method,
+            String path,
+            byte[] body,
+            long timeoutMillis,
+            BodyReader reader,
+            Consumer<Result> done) {
+        calls.send(
+                address,
+                method,
+                path,
+                body,
+                timeoutMillis,
+                answer -> {
+                    Result result = result(answer, reader);
+                    onResult.accept(result.getClass().getSimpleName());
+                    done.accept(result);
+                });
+    }
+
+    private Result result(SmallCalls.Result answer, BodyReader reader) {
+        return switch (answer) {
+            case SmallCalls.Result.NoResponse none -> new Result.NoAnswer(none.cause());
+            case SmallCalls.Result.Response response -> {
+                try {
+                    yield response(response, reader);
+                } catch (IOException e) {
+                    yield new Result.NoAnswer("malformed answer: " + e.getMessage());
+                }
+            }
+        };
+    }
+
+    private Result response(SmallCalls.Result.Response response, BodyReader reader)
+            throws IOException {
+        return switch (response.status()) {
+            case 200, 201 -> reader.read(json.readTree(response.body()));
+            case 404 -> new Result.Missing();
+            case 409 -> new Result.Conflict();
+            case 410 -> new Result.HistoryGone();
+            case 429, 503 -> new Result.Refused("status " + response.status());
+            default -> new Result.NoAnswer("status " + response.status());
+        };
+    }
+
+    private static Result single(String kind, JsonNode body) {
+        StoredEntry entry = entry(kind, body, false);
+        return new Result.Done(List.of(entry), entry.revision(), false);
+    }
+
+    private static Result page(String kind, JsonNode body) {
+        List<StoredEntry> entries = new ArrayList<>();
+        body.path("items").forEach(item -> entries.add(entry(kind, item, false)));
+        return new Result.Done(
+                entries, body.path("at").asLong(), body.path("hasMore").asBoolean());
+    }
+
+    private static Result events(String kind, JsonNode body) {
+        List<StoredEntry> entries = new ArrayList<>();
+        for (JsonNode event : body.path("events")) {
+            boolean removed = event.path("removed").asBoolean();
+            entries.add(entry(kind, event.path("object"), removed));
+        }
+        return new Result.Done(entries, body.path("at").asLong(), false);
+    }
+
+    private static StoredEntry entry(String kind, JsonNode object, boolean removed) {
+        JsonNode metadata = object.path("metadata");
+        return new StoredEntry(
+                kind,
+                metadata.path("name").asText(),
+                metadata.path("revision").asLong(),
+                removed,
+                object.path("specification"));
+    }
+
+    private byte[] bytes(String name, JsonNode content) {
+        ObjectNode object = json.createObjectNode();
+        object.putObject("metadata").put("name", name);
+        object.set("specification", content);
+        try {
+            return json.writeValueAsBytes(object);
+        } catch (IOException e) {
+            throw new IllegalStateException("a JSON tree cannot be written", e);
+        }
+    }
+
+    private static String path(String kind) {
+        return "/objects/" + kind;
+    }
+
+    private static String path(String kind, String name) {
+        return path(kind) + '/' + encoded(name);
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/platform/SettingsDecoder.java
@@ -0,0 +1,104 @@
+package org.azureshed.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.azureshed.sidecar.SidecarSettings;
+
+/** Reads the settings file that the platform writes for each process. */
+public final class SettingsDecoder {
+    private static final String PATH_VARIABLE = "AZURESHED_CONFIG";
+
+    private SettingsDecoder() {}
+
+    /**
+     * Finds the settings file.
+     *
+     * @param environment environment variables
+     * @return its path
+     * @throws IllegalArgumentException if the environment does not name it
+     */
+    public static Path path(Map<String, String> environment) {
+        String path = environment.get(PATH_VARIABLE);
+        if (path == null) {
+            throw new IllegalArgumentException(
+                    PATH_VARIABLE + " is not set; set it to the path of the settings file");
+        }
+        return Path.of(path);
+    }
+
+    /**
+     * Reads the settings.
+     *
+     * @param path the settings file
+     * @return the settings
+     * @throws IOException if the file cannot be read
+     * @throws IllegalArgumentException if a field is missing or malformed; the message names it
+     */
+    public static SidecarSettings read(Path path) throws IOException {
+        JsonNode json = new ObjectMapper().readTree(Files.readAllBytes(path));
+        Map<String, String> bounds = bounds(json.path("bounds"));
+        String ip = text(json, "/ip");
+        return new SidecarSettings(
+                text(json, "/node"),
+                text(json, "/zone"),
+                text(json, "/service"),
+                text(json, "/appAddress"),
+                text(json, "/listen/outbound"),
+                text(json, "/listen/inbound"),
+                text(json, "/listen/ready"),
+                text(json, "/listen/control"),
+                ip + ':' + (long) number(json, "/internalPorts/0"),
+                text(json, "/platform/address"),
+                (long) number(json, "/heartbeatIntervalMs"),
+                (long) (bound(bounds, "graceS") * 1_000),
+                bound(bounds, "budgetRatio"),
+                bound(bounds, "budgetSlack"),
+                bound(bounds, "budgetWindowS"),
+                json.path("bootstrap").asBoolean());
+    }
+
+    private static Map<String, String> bounds(JsonNode list) {
+        Map<String, String> bounds = new HashMap<>();
+        for (JsonNode entry : list) {
+            String text = entry.asText();
+            int equals = text.indexOf('=');
+            if (equals > 0) {
+                bounds.put(text.substring(0, equals), text.substring(equals + 1));
+            }
+        }
+        return bounds;
+    }
+
+    private static double bound(Map<String, String> bounds, String name) {
+        String value = bounds.get(name);
+        try {
+            if (value != null) {
+                return Double.parseDouble(value);
+            }
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("bound " + name + " is not a number: " + value, e);
+        }
+        throw new IllegalArgumentException("settings lack the bound " + name);
+    }
+
+    private static String text(JsonNode json, String pointer) {
+        JsonNode value = json.at(pointer);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException("settings lack the text " + pointer);
+        }
+        return value.textValue();
+    }
+
+    private static double number(JsonNode json, String pointer) {
+        JsonNode value = json.at(pointer);
+        if (!value.isNumber()) {
+            throw new IllegalArgumentException("settings lack the number " + pointer);
+        }
+        return value.doubleValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/platform/SidecarMain.java
@@ -0,0 +1,61 @@
+package org.azureshed.platform;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.azureshed.sidecar.SidecarNode;
+import org.azureshed.sidecar.SidecarSettings;
+import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.traffic.HeaderNames;
+import sun.misc.Signal;
+
+/** Starts a node with the platform's settings, formats and calls. */
+public final class SidecarMain {
+    private static final HeaderNames HEADERS =
+            new HeaderNames(
+                    "X-Azureshed-Request-Id",
+                    "X-Azureshed-Deadline-Ms",
+                    "X-Azureshed-Response-Signature",
+                    "X-Azureshed-Expected-Instance",
+                    "X-Azureshed-Not-Executed",
+                    "X-Azureshed-Caller-Service");
+
+    private static final int USAGE = 2;
+
+    private SidecarMain() {}
+
+    /**
+     * Runs a node until SIGTERM. SIGHUP makes it read its settings again.
+     *
+     * @param args unused
+     */
+    public static void main(String[] args) {
+        try {
+            Path path = SettingsDecoder.path(System.getenv());
+            SidecarSettings settings = SettingsDecoder.read(path);
+            DecisionLog log = new DecisionLog(System.out, settings.node());
+            SidecarNode node = new SidecarNode(settings, protocol(settings, log), log);
+            Signal.handle(new Signal("HUP"), signal -> reload(node, path, log));
+            Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+            node.start();
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("azureshed: " + e.getMessage());
+            System.exit(USAGE);
+        }
+    }
+
+    static SidecarNode.PlatformProtocol protocol(SidecarSettings settings, DecisionLog log) {
+        return new SidecarNode.PlatformProtocol(
+                HEADERS,
+                (calls, onResult) -> new PlatformStore(calls, settings.storeAddress(), onResult),
+                ConfigurationDecoder::decode,
+                intake -> new HeartbeatCalls(intake, log));
+    }
+
+    private static void reload(SidecarNode node, Path path, DecisionLog log) {
+        try {
+            node.reload(SettingsDecoder.read(path));
+        } catch (IOException | IllegalArgumentException e) {
+            log.write("reload_failed", "cause", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationKeeper.java
@@ -0,0 +1,62 @@
+package org.azureshed.sidecar;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.telemetry.DecisionLog;
+
+/**
+ * Keeps the newest configuration in force. It comes from the store, or from a node that has a newer
+ * one. An older version never replaces a newer one. Runs on one event loop.
+ */
+final class ConfigurationKeeper {
+    private final Function<JsonNode, TrafficConfiguration> decoder;
+    private final Consumer<TrafficConfiguration> onChange;
+    private final DecisionLog log;
+    private Optional<JsonNode> content = Optional.empty();
+    private long version;
+
+    ConfigurationKeeper(
+            Function<JsonNode, TrafficConfiguration> decoder,
+            Consumer<TrafficConfiguration> onChange,
+            DecisionLog log) {
+        this.decoder = decoder;
+        this.onChange = onChange;
+        this.log = log;
+    }
+
+    /** Puts a configuration in force if it is newer than the present one. */
+    void offer(JsonNode offered, String source) {
+        TrafficConfiguration decoded;
+        try {
+            decoded = decoder.apply(offered);
+        } catch (IllegalArgumentException e) {
+            log.write("configuration_unreadable", "source", source, "cause", e.getMessage());
+            return;
+        }
+        if (content.isPresent() && decoded.version() <= version) {
+            return;
+        }
+        log.write(
+                "configuration_in_force",
+                "version",
+                decoded.version(),
+                "before",
+                version,
+                "source",
+                source);
+        version = decoded.version();
+        content = Optional.of(offered);
+        onChange.accept(decoded);
+    }
+
+    long version() {
+        return version;
+    }
+
+    Optional<JsonNode> content() {
+        return content;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -0,0 +1,93 @@
+package org.azureshed.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.telemetry.DecisionLog;
+
+/** Reads the configuration from the store and then waits for its changes, for ever. */
+final class ConfigurationWatch {
+    private static final String KIND = "config";
+    private static final String NAME = "main";
+
+    /** Each waiting call is paid for; a silent connection is noticed by keep-alive probes. */
+    private static final long WAIT_MILLIS = 15_000;
+
+    private final FleetStore store;
+    private final EventLoop loop;
+    private final ConfigurationKeeper keeper;
+    private final Backoff backoff;
+    private final DecisionLog log;
+    private boolean reachable = true;
+
+    ConfigurationWatch(
+            FleetStore store,
+            EventLoop loop,
+            ConfigurationKeeper keeper,
+            SplittableRandom random,
+            DecisionLog log) {
+        this.store = store;
+        this.loop = loop;
+        this.keeper = keeper;
+        this.backoff = new Backoff(random);
+        this.log = log;
+    }
+
+    void start() {
+        store.read(
+                KIND,
+                NAME,
+                result -> {
+                    switch (result) {
+                        case FleetStore.Result.Done done -> {
+                            FleetStore.StoredEntry entry = done.entries().getFirst();
+                            regained();
+                            keeper.offer(entry.content(), "store");
+                            watch(entry.revision());
+                        }
+                        default -> retry(result, this::start);
+                    }
+                });
+    }
+
+    private void watch(long revision) {
+        store.watch(
+                KIND,
+                revision,
+                WAIT_MILLIS,
+                result -> {
+                    switch (result) {
+                        case FleetStore.Result.Done done -> {
+                            regained();
+                            done.entries().stream()
+                                    .filter(entry -> entry.name().equals(NAME))
+                                    .filter(entry -> !entry.removed())
+                                    .forEach(entry -> keeper.offer(entry.content(), "watch"));
+                            watch(Math.max(revision, done.revision()));
+                        }
+                        case FleetStore.Result.HistoryGone ignored -> {
+                            log.write("watch_history_gone", "kind", KIND, "revision", revision);
+                            start();
+                        }
+                        // Changes may have been missed meanwhile; the object tells them all.
+                        default -> retry(result, this::start);
+                    }
+                });
+    }
+
+    private void regained() {
+        backoff.reset();
+        if (!reachable) {
+            reachable = true;
+            log.write("store_regained");
+        }
+    }
+
+    private void retry(FleetStore.Result result, Runnable next) {
+        if (reachable) {
+            reachable = false;
+            log.write("store_lost", "result", result);
+        }
+        loop.schedule(next, backoff.next(), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -0,0 +1,250 @@
+package org.azureshed.sidecar;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.azureshed.directory.Directory;
+import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.host.HostGate;
+import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.traffic.ConnectionPool;
+import org.azureshed.traffic.ControlCalls;
+import org.azureshed.traffic.EntryService;
+import org.azureshed.traffic.HeaderNames;
+import org.azureshed.traffic.HostService;
+import org.azureshed.traffic.SmallCalls;
+import org.azureshed.traffic.TrafficServers;
+
+/**
+ * One node: entry side, host side and the exchange with other nodes, on one event loop.
+ *
+ * <pre>{@code
+ * SidecarNode node = new SidecarNode(settings, protocol, log);
+ * node.start();
+ * node.stop(); // returns when the requests under way have ended
+ * }</pre>
+ */
+public final class SidecarNode {
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    private static final long NODE_IDLE_MILLIS = 30_000;
+    private static final long TARGET_IDLE_MILLIS = 30_000;
+    private static final long IDLE_CHECK_MILLIS = 1_000;
+
+    /** Callers learn from two failed health checks, one a second, that the node leaves. */
+    private static final long MIN_STOP_MILLIS = 2_300;
+
+    /** Left of the grace period for closing the process. */
+    private static final long STOP_MARGIN_MILLIS = 400;
+
+    private static final long STOP_CHECK_MILLIS = 50;
+
+    private final SidecarSettings settings;
+    private final PlatformProtocol protocol;
+    private final DecisionLog log;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ObjectMapper json = new ObjectMapper();
+    private final SidecarMetrics metrics;
+    private final ConfigurationKeeper configuration;
+    private final ConnectionPool nodeConnections;
+    private final ConnectionPool targetConnections;
+    private final EntryService entry;
+    private final HostService host;
+    private final FleetSync fleet;
+    private final LocalTarget target;
+    private final ConfigurationWatch watch;
+    private volatile String localService;
+    private volatile boolean stopping;
+
+    /**
+     * What differs from platform to platform: header names, formats and calls.
+     *
+     * @param names headers that callers and targets use
+     * @param store opens the store, given a client and who hears the kind of each result
+     * @param configuration reads a configuration; throws IllegalArgumentException if it is not one
+     * @param heartbeats answers the calls of the local target
+     */
+    public record PlatformProtocol(
+            HeaderNames names,
+            BiFunction<SmallCalls, Consumer<String>, FleetStore> store,
+            Function<JsonNode, TrafficConfiguration> configuration,
+            Function<TargetIntake, ControlCalls> heartbeats) {}
+
+    /**
+     * Creates a node.
+     *
+     * @param settings its settings
+     * @param protocol names, formats and calls of the platform
+     * @param log receives its decisions
+     */
+    public SidecarNode(SidecarSettings settings, PlatformProtocol protocol, DecisionLog log) {
+        this.settings = settings;
+        this.protocol = protocol;
+        this.log = log;
+        this.localService = settings.service();
+        long incarnation = System.currentTimeMillis();
+        SplittableRandom random =
+                new SplittableRandom(incarnation ^ (long) settings.node().hashCode() << 32);
+        this.metrics = new SidecarMetrics(log);
+        this.nodeConnections = new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS);
+        this.targetConnections =
+                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, TARGET_IDLE_MILLIS);
+        SmallCalls calls = new SmallCalls(loop, nodeConnections);
+        Directory directory = new Directory();
+        this.entry =
+                new EntryService(
+                        loop,
+                        directory,
+                        nodeConnections,
+                        settings.availabilityZone(),
+                        new EntryService.RetryPolicy(
+                                settings.retryRatio(),
+                                settings.retrySlack(),
+                                settings.retryWindowSeconds()),
+                        protocol.names(),
+                        () -> localService,
+                        random.split(),
+                        metrics);
+        this.configuration =
+                new ConfigurationKeeper(protocol.configuration(), entry::configure, log);
+        this.host =
+                new HostService(
+                        new HostGate(),
+                        loop,
+                        targetConnections,
+                        settings.targetAddress(),
+                        protocol.names(),
+                        metrics);
+        FleetStore store = protocol.store().apply(calls, metrics::storeCall);
+        this.fleet =
+                new FleetSync(
+                        settings,
+                        incarnation,
+                        directory,
+                        store,
+                        calls,
+                        loop,
+                        configuration,
+                        random.split(),
+                        json,
+                        log);
+        this.target = new LocalTarget(settings, host, fleet, loop, log);
+        this.watch = new ConfigurationWatch(store, loop, configuration, random.split(), log);
+    }
+
+    /** Opens the listeners and starts reading the configuration and the directory. */
+    public void start() {
+        TrafficServers.control(loop, settings.healthListen(), this::health);
+        TrafficServers.control(
+                loop, settings.heartbeatListen(), protocol.heartbeats().apply(target));
+        TrafficServers.control(loop, settings.peerListen(), this::peerCall);
+        TrafficServers.host(loop, settings.hostListen(), host);
+        Channel listener = TrafficServers.entry(loop, settings.callerListen(), entry);
+        loop.execute(
+                () -> {
+                    host.onPublishedChange(fleet::targetChanged);
+                    fleet.onFormerTarget(target::restore);
+                    watch.start();
+                    fleet.start();
+                    target.start();
+                });
+        loop.scheduleAtFixedRate(
+                this::closeIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        log.write(
+                "started",
+                "service",
+                settings.service(),
+                "listen",
+                listener.localAddress(),
+                "first_start",
+                settings.firstStart());
+    }
+
+    /**
+     * Applies changed settings. Only the service beside the node can change while it runs.
+     *
+     * @param changed the new settings
+     */
+    public void reload(SidecarSettings changed) {
+        log.write("reloaded", "service", changed.service(), "before", localService);
+        localService = changed.service();
+    }
+
+    /** Stops taking work and returns when the requests under way have ended. */
+    public void stop() {
+        long startNanos = System.nanoTime();
+        stopping = true;
+        log.write("stopping", "active", entry.activeCount(), "hosted", host.activeCount());
+        CountDownLatch ended = new CountDownLatch(1);
+        loop.execute(
+                () -> {
+                    entry.stop();
+                    host.stop();
+                    host.publish();
+                    awaitIdle(startNanos, ended);
+                });
+        try {
+            ended.await(settings.graceMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.write("stopped", "active", entry.activeCount(), "hosted", host.activeCount());
+        log.close();
+    }
+
+    private void awaitIdle(long startNanos, CountDownLatch ended) {
+        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        boolean idle = entry.activeCount() == 0 && host.activeCount() == 0;
+        boolean late = elapsed > settings.graceMillis() - STOP_MARGIN_MILLIS;
+        if (late || idle && elapsed > MIN_STOP_MILLIS) {
+            ended.countDown();
+        } else {
+            loop.schedule(
+                    () -> awaitIdle(startNanos, ended), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeIdle() {
+        nodeConnections.closeIdle();
+        targetConnections.closeIdle();
+    }
+
+    private void health(
+            String method, String path, byte[] body, Consumer<ControlCalls.Reply> reply) {
+        boolean ready = !stopping && configuration.content().isPresent() && fleet.listed();
+        reply.accept(ControlCalls.Reply.of(ready ? 200 : 503));
+    }
+
+    private void peerCall(
+            String method, String path, byte[] body, Consumer<ControlCalls.Reply> reply) {
+        if (path.equals("/metrics")) {
+            reply.accept(metricsReply());
+            return;
+        }
+        Optional<byte[]> answer = fleet.answer(path, body);
+        reply.accept(
+                answer.map(bytes -> new ControlCalls.Reply(200, "application/json", bytes))
+                        .orElseGet(() -> ControlCalls.Reply.of(404)));
+    }
+
+    private ControlCalls.Reply metricsReply() {
+        try {
+            return new ControlCalls.Reply(200, "text/plain; version=0.0.4", metrics.exposition());
+        } catch (IOException e) {
+            log.write("metrics_unavailable", "cause", e.getMessage());
+            return ControlCalls.Reply.of(500);
+        }
+    }
+}
--- a/src/main/java/org/azureshed/telemetry/EventLog.java
+++ b/src/main/java/org/azureshed/telemetry/EventLog.java
@@ -14,11 +14,11 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Level level;
-    private final StringBuilder line;
+    private final KeyValueLine line;
 
     private EventLog(Level level, String event) {
         this.level = level;
-        this.line = new StringBuilder("event=").append(event);
+        this.line = new KeyValueLine(event);
     }
 
     /**
@@ -49,7 +49,7 @@
      * @return this line
      */
     public EventLog with(String key, Object value) {
-        line.append(' ').append(key).append('=').append(quote(String.valueOf(value)));
+        line.with(key, value);
         return this;
     }
 
@@ -62,21 +62,4 @@
     public String toString() {
         return line.toString();
     }
-
-    private static String quote(String value) {
-        boolean plain = !value.isEmpty() && value.chars().allMatch(EventLog::isPlain);
-        if (plain) {
-            return value;
-        }
-        String escaped =
-                value.replace("\\", "\\\\")
-                        .replace("\"", "\\\"")
-                        .replace("\n", "\\n")
-                        .replace("\r", "\\r");
-        return '"' + escaped + '"';
-    }
-
-    private static boolean isPlain(int character) {
-        return character > ' ' && character != '"' && character != '=' && character != '\\';
-    }
 }
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/ControlHandler.java
@@ -0,0 +1,88 @@
+package org.azureshed.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/** One connection for small calls, which are answered one after another. */
+final class ControlHandler extends ChannelInboundHandlerAdapter {
+    /** A list of all nodes of a large fleet, and a large configuration, stay below this. */
+    private static final int MAX_BODY_BYTES = 8 << 20;
+
+    private final ControlCalls calls;
+    private final ByteBuf body = Unpooled.buffer(0);
+    private HttpRequest request;
+
+    ControlHandler(ControlCalls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
+            if (message instanceof HttpRequest head) {
+                request = head;
+                body.clear();
+            }
+            if (message instanceof HttpContent content) {
+                onContent(context, content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onContent(ChannelHandlerContext context, HttpContent content) {
+        if (body.readableBytes() + content.content().readableBytes() > MAX_BODY_BYTES) {
+            context.close();
+            return;
+        }
+        body.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            boolean keep = HttpUtil.isKeepAlive(request);
+            calls.handle(
+                    request.method().name(),
+                    request.uri(),
+                    ByteBufUtil.getBytes(body),
+                    reply -> write(context, reply, keep));
+        }
+    }
+
+    private static void write(
+            ChannelHandlerContext context, ControlCalls.Reply reply, boolean keep) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reply.status()),
+                        Unpooled.wrappedBuffer(reply.body()));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, reply.contentType())
+                .set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        HttpUtil.setKeepAlive(response, keep);
+        var written = context.writeAndFlush(response);
+        if (!keep) {
+            written.addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -0,0 +1,329 @@
+package org.azureshed.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.dispatch.Exchange;
+import org.azureshed.dispatch.ExchangeEffect;
+import org.azureshed.dispatch.ExchangeEvent;
+import org.azureshed.dispatch.ForwardRoute;
+import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.model.RefusalReason;
+
+/** One caller's request: carries out the effects of its {@link Exchange} and reports events. */
+final class EntryExchange {
+    /** Applies to requests without a deadline header. */
+    private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
+
+    /** The answer must still cross the network before the caller's deadline. */
+    private static final long DEADLINE_MARGIN_MILLIS = 25;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final EntryService service;
+    private final EntryHandler handler;
+    private final ChannelHandlerContext context;
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final int bodyBytes;
+    private final long startNanos;
+    private final Map<Integer, EntryAttempt> attempts = new HashMap<>();
+    private final StringBuilder trail = new StringBuilder();
+    private Exchange exchange;
+    private ForwardRoute route;
+    private String targetService = "";
+    private long limitNanos;
+    private ScheduledFuture<?> wake;
+    private EntryAttempt delivering;
+    private boolean done;
+
+    EntryExchange(
+            EntryService service,
+            EntryHandler handler,
+            ChannelHandlerContext context,
+            HttpRequest request,
+            ByteBuf body,
+            long startNanos) {
+        this.service = service;
+        this.handler = handler;
+        this.context = context;
+        this.request = request;
+        this.body = body;
+        this.bodyBytes = body.readableBytes();
+        this.startNanos = startNanos;
+    }
+
+    EntryService service() {
+        return service;
+    }
+
+    HttpRequest request() {
+        return request;
+    }
+
+    ByteBuf body() {
+        return body;
+    }
+
+    ForwardRoute route() {
+        return route;
+    }
+
+    long millisLeft() {
+        return TimeUnit.NANOSECONDS.toMillis(limitNanos - System.nanoTime());
+    }
+
+    void start() {
+        service.requestStarted();
+        Optional<TrafficConfiguration> configuration = service.configuration();
+        if (configuration.isEmpty()) {
+            refuse(RefusalReason.NO_PRESET, 500);
+            return;
+        }
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        Optional<ForwardRoute> found = configuration.get().route(host, request.uri());
+        if (found.isEmpty()) {
+            refuse(RefusalReason.NO_ROUTE, 0);
+            return;
+        }
+        route = found.get();
+        targetService = service.nextService(route);
+        limitNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis());
+        exchange =
+                new Exchange(
+                        route,
+                        service.candidates(targetService, route.repeatable()),
+                        service.retries(targetService),
+                        startNanos,
+                        limitNanos,
+                        service.spread());
+        handle(new ExchangeEvent.Started());
+    }
+
+    private long allowedMillis() {
+        String header = request.headers().get(service.names().deadline());
+        long deadline = DEFAULT_DEADLINE_MILLIS;
+        if (header != null) {
+            try {
+                deadline = (long) Double.parseDouble(header.trim());
+            } catch (NumberFormatException e) {
+                service.events().attemptEnded("malformed_deadline", "value", header);
+            }
+        }
+        return Math.min(deadline - DEADLINE_MARGIN_MILLIS, route.timeoutMillis());
+    }
+
+    /** Applies an event and carries out its effects. */
+    void handle(ExchangeEvent event) {
+        if (done || delivering != null) {
+            return;
+        }
+        List<ExchangeEffect> effects = exchange.handle(event, System.nanoTime());
+        for (ExchangeEffect effect : effects) {
+            if (!done) {
+                carryOut(effect);
+            }
+        }
+    }
+
+    private void carryOut(ExchangeEffect effect) {
+        switch (effect) {
+            case ExchangeEffect.Offer offer -> {
+                EntryAttempt attempt = new EntryAttempt(this, offer);
+                attempts.put(offer.attempt(), attempt);
+                attempt.start();
+            }
+            case ExchangeEffect.Cancel cancel -> {
+                EntryAttempt attempt = attempts.remove(cancel.attempt());
+                if (attempt != null) {
+                    attempt.cancel();
+                }
+            }
+            case ExchangeEffect.Deliver deliver -> deliver(attempts.get(deliver.attempt()));
+            case ExchangeEffect.Refuse refuse ->
+                    refuse(refuse.reason(), refuse.retryAfterMillis());
+            case ExchangeEffect.Fail fail -> fail(fail.status(), fail.cause());
+            case ExchangeEffect.WakeAt at -> wakeAt(at.nanos());
+        }
+    }
+
+    private void wakeAt(long nanos) {
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        long delay = Math.max(0, nanos - System.nanoTime());
+        wake =
+                service.loop()
+                        .schedule(
+                                () -> handle(new ExchangeEvent.Woke()),
+                                delay,
+                                TimeUnit.NANOSECONDS);
+    }
+
+    void note(String node, String what) {
+        if (!trail.isEmpty()) {
+            trail.append(',');
+        }
+        trail.append(node).append(':').append(what);
+    }
+
+    private void deliver(EntryAttempt attempt) {
+        delivering = attempt;
+        HttpResponse source = attempt.response();
+        boolean keep = keepConnection();
+        if (attempt.complete()) {
+            DefaultFullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, source.status(), attempt.takeBuffered());
+            ForwardedHeaders.copy(source.headers(), response.headers());
+            if (source.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
+                response.headers()
+                        .set(
+                                HttpHeaderNames.CONTENT_LENGTH,
+                                response.content().readableBytes());
+            }
+            connectionHeader(response, keep);
+            context.writeAndFlush(response);
+            finish("delivered", source.status().code(), keep);
+            return;
+        }
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, source.status());
+        ForwardedHeaders.copy(source.headers(), response.headers());
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        connectionHeader(response, keep);
+        context.write(response);
+        context.writeAndFlush(new DefaultHttpContent(attempt.takeBuffered()));
+    }
+
+    /** Passes on a part of an answer that is too large to be buffered. */
+    void streamed(EntryAttempt attempt, ByteBuf data) {
+        if (attempt == delivering && !done) {
+            context.writeAndFlush(new DefaultHttpContent(data.retain()));
+            if (!context.channel().isWritable()) {
+                attempt.reading(false);
+            }
+        }
+    }
+
+    void streamEnded(EntryAttempt attempt, boolean complete) {
+        if (attempt != delivering || done) {
+            return;
+        }
+        if (complete) {
+            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            finish("delivered", attempt.response().status().code(), keepConnection());
+        } else {
+            // Closed without the last chunk, so that the answer cannot pass for complete.
+            finish("truncated", attempt.response().status().code(), false);
+        }
+    }
+
+    void writable(boolean writable) {
+        if (delivering != null) {
+            delivering.reading(writable);
+        }
+    }
+
+    void callerGone() {
+        if (!done) {
+            attempts.values().forEach(EntryAttempt::cancel);
+            finish("caller-gone", 0, false);
+        }
+    }
+
+    private void refuse(RefusalReason reason, long retryAfterMillis) {
+        DefaultFullHttpResponse response = empty(reason.status());
+        if (reason.retryAfter()) {
+            response.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(
+                                    Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
+        }
+        answer(response, reason.label());
+    }
+
+    private void fail(int status, String cause) {
+        answer(empty(status), cause);
+    }
+
+    private void answer(DefaultFullHttpResponse response, String outcome) {
+        boolean keep = keepConnection();
+        connectionHeader(response, keep);
+        context.writeAndFlush(response);
+        finish(outcome, response.status().code(), keep);
+    }
+
+    private DefaultFullHttpResponse empty(int status) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.EMPTY_BUFFER);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        String id = request.headers().get(service.names().requestId());
+        if (id != null) {
+            response.headers().set(service.names().requestId(), id);
+        }
+        return response;
+    }
+
+    private boolean keepConnection() {
+        return HttpUtil.isKeepAlive(request) && !service.stopping();
+    }
+
+    private static void connectionHeader(HttpResponse response, boolean keep) {
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void finish(String outcome, int status, boolean keep) {
+        done = true;
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        attempts.values().forEach(EntryAttempt::cancel);
+        body.release();
+        service.buffered(-bodyBytes);
+        service.requestEnded();
+        service.events()
+                .entryFinished(
+                        outcome,
+                        System.nanoTime() - startNanos,
+                        "id",
+                        request.headers().get(service.names().requestId()),
+                        "route",
+                        route == null ? "" : route.name(),
+                        "service",
+                        targetService,
+                        "status",
+                        status,
+                        "sent",
+                        exchange == null ? 0 : exchange.sent(),
+                        "config",
+                        service.configuration().map(TrafficConfiguration::version).orElse(0L),
+                        "trail",
+                        trail);
+        handler.exchangeEnded(keep);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -0,0 +1,226 @@
+package org.azureshed.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.model.RefusalReason;
+
+/**
+ * One caller's connection. Requests are served one after another; the connection is read all the
+ * time, so that a caller who leaves is noticed at once.
+ */
+final class EntryHandler extends ChannelInboundHandlerAdapter {
+    /** Messages of requests that arrive before the previous answer; more end the connection. */
+    private static final int MAX_WAITING_MESSAGES = 256;
+
+    /** Bodies buffered at this node; beyond it requests are refused before they run. */
+    private static final long MAX_BUFFERED_BYTES = 48L << 20;
+
+    /** Applies until a configuration is known. */
+    private static final TrafficConfiguration.CallerLimits DEFAULT_LIMITS =
+            new TrafficConfiguration.CallerLimits(16 << 10, 8 << 20, 3_000, 15_000);
+
+    private final EntryService service;
+    private final Deque<Object> waiting = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private EntryExchange exchange;
+    private HttpRequest head;
+    private long headNanos;
+    private ByteBuf body;
+    private ScheduledFuture<?> timer;
+    private boolean closing;
+
+    EntryHandler(EntryService service) {
+        this.service = service;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        awaitRequest();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ignored, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+        } else if (exchange != null) {
+            waiting.add(message);
+            if (waiting.size() > MAX_WAITING_MESSAGES) {
+                context.close();
+            }
+        } else {
+            handle(message);
+        }
+    }
+
+    private void handle(Object message) {
+        try {
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                malformed(object.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                onHead(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(HttpRequest request) {
+        head = request;
+        headNanos = System.nanoTime();
+        body = context.alloc().buffer();
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
+        long millis = limits().headerTimeoutMillis() * 2;
+        schedule(millis, () -> refuseUnread(RefusalReason.BODY_TOO_SLOW));
+    }
+
+    private void onContent(HttpContent content) {
+        int size = content.content().readableBytes();
+        if (body.readableBytes() + size > limits().maxBodyBytes()) {
+            refuseUnread(RefusalReason.BODY_LIMIT);
+            return;
+        }
+        if (service.bufferedBytes() + size > MAX_BUFFERED_BYTES) {
+            refuseUnread(RefusalReason.NODE_OVERLOADED);
+            return;
+        }
+        service.buffered(size);
+        body.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            start();
+        }
+    }
+
+    private void start() {
+        cancelTimer();
+        HttpRequest request = head;
+        ByteBuf content = body;
+        head = null;
+        body = null;
+        exchange = new EntryExchange(service, this, context, request, content, headNanos);
+        exchange.start();
+    }
+
+    /** The exchange has written its whole answer, or given up on the connection. */
+    void exchangeEnded(boolean keepConnection) {
+        exchange = null;
+        if (!keepConnection) {
+            closing = true;
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        awaitRequest();
+        while (exchange == null && !waiting.isEmpty() && !closing) {
+            handle(waiting.poll());
+        }
+    }
+
+    private void awaitRequest() {
+        schedule(limits().idleTimeoutMillis(), () -> context.close());
+    }
+
+    private void malformed(Throwable cause) {
+        refuseUnread(
+                cause instanceof TooLongFrameException
+                        ? RefusalReason.HEADER_LIMIT
+                        : RefusalReason.BAD_FRAMING);
+    }
+
+    private void refuseUnread(RefusalReason reason) {
+        closing = true;
+        releaseBody();
+        service.events().entryFinished(reason.label(), 0, "phase", "reading");
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reason.status()),
+                        Unpooled.EMPTY_BUFFER);
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private TrafficConfiguration.CallerLimits limits() {
+        return service.configuration()
+                .map(TrafficConfiguration::limits)
+                .orElse(DEFAULT_LIMITS);
+    }
+
+    private void schedule(long millis, Runnable task) {
+        cancelTimer();
+        timer = service.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            service.buffered(-body.readableBytes());
+            body.release();
+            body = null;
+        }
+        head = null;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ignored) {
+        if (exchange != null) {
+            exchange.writable(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ignored) {
+        closing = true;
+        cancelTimer();
+        releaseBody();
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        if (exchange != null) {
+            exchange.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -0,0 +1,181 @@
+package org.azureshed.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import org.azureshed.directory.Directory;
+import org.azureshed.directory.NodeEntry;
+import org.azureshed.dispatch.ForwardRoute;
+import org.azureshed.dispatch.PathBackoff;
+import org.azureshed.dispatch.RetryShare;
+import org.azureshed.dispatch.ServiceSplit;
+import org.azureshed.dispatch.TargetOrder;
+import org.azureshed.dispatch.TrafficConfiguration;
+
+/** What all requests at the entry side of a node share. Runs on one event loop. */
+public final class EntryService {
+    private final EventLoop loop;
+    private final Directory directory;
+    private final ConnectionPool nodeConnections;
+    private final PathBackoff paths = new PathBackoff();
+    private final TargetOrder order;
+    private final ServiceSplit split;
+    private final SplittableRandom random;
+    private final RetryPolicy retryPolicy;
+    private final Map<String, RetryShare> retryShares = new HashMap<>();
+    private final HeaderNames names;
+    private final Supplier<String> localService;
+    private final TrafficEvents events;
+    private Optional<TrafficConfiguration> configuration = Optional.empty();
+    private boolean stopping;
+    private int active;
+    private long bufferedBytes;
+
+    /**
+     * The fleet's retry budget for each service.
+     *
+     * @param ratio retries per request, 0 to 1
+     * @param slack retries beyond it in each window
+     * @param windowSeconds length of the window in seconds
+     */
+    public record RetryPolicy(double ratio, double slack, double windowSeconds) {}
+
+    /**
+     * Creates the entry side.
+     *
+     * @param loop event loop of all connections
+     * @param directory nodes and targets
+     * @param nodeConnections connections to the host sides of nodes
+     * @param availabilityZone the node's availability zone
+     * @param retryPolicy the fleet's retry budget
+     * @param names headers that callers and targets use
+     * @param localService name of the service beside this node
+     * @param random source of random order
+     * @param events hears the outcomes
+     */
+    public EntryService(
+            EventLoop loop,
+            Directory directory,
+            ConnectionPool nodeConnections,
+            String availabilityZone,
+            RetryPolicy retryPolicy,
+            HeaderNames names,
+            Supplier<String> localService,
+            SplittableRandom random,
+            TrafficEvents events) {
+        this.loop = loop;
+        this.directory = directory;
+        this.nodeConnections = nodeConnections;
+        this.order = new TargetOrder(availabilityZone, paths, random.split());
+        this.split = new ServiceSplit(random.nextDouble());
+        this.random = random;
+        this.retryPolicy = retryPolicy;
+        this.names = names;
+        this.localService = localService;
+        this.events = events;
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param next the configuration
+     */
+    public void configure(TrafficConfiguration next) {
+        configuration = Optional.of(next);
+    }
+
+    /** Announces to callers on their next answer that their connection ends. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /**
+     * Requests under way.
+     *
+     * @return their number
+     */
+    public int activeCount() {
+        return active;
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    Optional<TrafficConfiguration> configuration() {
+        return configuration;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    ConnectionPool nodeConnections() {
+        return nodeConnections;
+    }
+
+    PathBackoff paths() {
+        return paths;
+    }
+
+    HeaderNames names() {
+        return names;
+    }
+
+    TrafficEvents events() {
+        return events;
+    }
+
+    String localService() {
+        return localService.get();
+    }
+
+    String nextService(ForwardRoute route) {
+        return split.next(route);
+    }
+
+    List<NodeEntry> candidates(String service, boolean repeatable) {
+        return order.order(directory.usable(service), repeatable, System.nanoTime());
+    }
+
+    RetryShare retries(String service) {
+        int nodes = Math.max(1, directory.nodes().size());
+        RetryShare share =
+                retryShares.computeIfAbsent(
+                        service,
+                        key ->
+                                new RetryShare(
+                                        retryPolicy.ratio(),
+                                        retryPolicy.slack(),
+                                        retryPolicy.windowSeconds(),
+                                        nodes,
+                                        System.nanoTime()));
+        share.resize(nodes);
+        return share;
+    }
+
+    double spread() {
+        return random.nextDouble();
+    }
+
+    void requestStarted() {
+        active++;
+    }
+
+    void requestEnded() {
+        active--;
+    }
+
+    /** Counts bytes of buffered bodies; negative when they are released. */
+    void buffered(long bytes) {
+        bufferedBytes += bytes;
+    }
+
+    long bufferedBytes() {
+        return bufferedBytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/HostHandler.java
@@ -0,0 +1,73 @@
+package org.azureshed.traffic;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/** One connection from another node, which offers one request at a time. */
+final class HostHandler extends ChannelInboundHandlerAdapter {
+    private final HostService service;
+    private HostExchange exchange;
+
+    HostHandler(HostService service) {
+        this.service = service;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                offer(context, request);
+            }
+            if (message instanceof HttpContent content && exchange != null) {
+                exchange.bodyPart(content.content(), message instanceof LastHttpContent);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void offer(ChannelHandlerContext context, HttpRequest request) {
+        if (exchange != null && !exchange.done()) {
+            service.events().attemptEnded("offer_during_exchange");
+            context.close();
+            return;
+        }
+        try {
+            String header = request.headers().get(OfferHeader.NAME, "");
+            exchange = new HostExchange(service, context, request, OfferHeader.decode(header));
+        } catch (IllegalArgumentException e) {
+            service.events().attemptEnded("malformed_offer", "cause", e.getMessage());
+            context.close();
+            return;
+        }
+        service.offer(exchange);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (exchange != null) {
+            exchange.writable(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (exchange != null) {
+            exchange.cancelled();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -0,0 +1,166 @@
+package org.azureshed.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.azureshed.directory.TargetEntry;
+import org.azureshed.host.HostGate;
+import org.azureshed.host.Offered;
+import org.azureshed.host.RunResult;
+
+/**
+ * The host side of a node: connects the gate's decisions with the exchanges that wait for them.
+ * Runs on one event loop.
+ */
+public final class HostService {
+    /** How often waiting requests are checked for their limits. */
+    private static final long EXPIRY_MILLIS = 50;
+
+    private final HostGate gate;
+    private final EventLoop loop;
+    private final ConnectionPool targetConnections;
+    private final String targetAddress;
+    private final HeaderNames names;
+    private final TrafficEvents events;
+    private final Map<Long, HostExchange> exchanges = new HashMap<>();
+    private Consumer<Optional<TargetEntry>> onChange = entry -> {};
+    private Optional<TargetEntry> published = Optional.empty();
+    private long nextId;
+    private boolean expiryScheduled;
+
+    /**
+     * Creates the host side.
+     *
+     * @param gate slots and queue of the local target
+     * @param loop event loop of all connections
+     * @param targetConnections connections to the local target
+     * @param targetAddress IP address and port of the local target
+     * @param names headers that targets use
+     * @param events hears the outcomes
+     */
+    public HostService(
+            HostGate gate,
+            EventLoop loop,
+            ConnectionPool targetConnections,
+            String targetAddress,
+            HeaderNames names,
+            TrafficEvents events) {
+        this.gate = gate;
+        this.loop = loop;
+        this.targetConnections = targetConnections;
+        this.targetAddress = targetAddress;
+        this.names = names;
+        this.events = events;
+    }
+
+    /**
+     * Sets who hears when the published description of the target changes.
+     *
+     * @param listener receives the new description
+     */
+    public void onPublishedChange(Consumer<Optional<TargetEntry>> listener) {
+        onChange = listener;
+    }
+
+    /**
+     * Applies what the target said about itself.
+     *
+     * @param target the target, or empty if there is none
+     */
+    public void apply(Optional<TargetEntry> target) {
+        settle(gate.apply(target));
+        publish();
+    }
+
+    /** Refuses new requests, because the node stops. */
+    public void stop() {
+        settle(gate.stop());
+    }
+
+    /**
+     * Requests under way or waiting.
+     *
+     * @return their number
+     */
+    public int activeCount() {
+        return exchanges.size();
+    }
+
+    /** Publishes a judgement that changed with time. */
+    public void publish() {
+        Optional<TargetEntry> current = gate.published(System.nanoTime());
+        if (!current.equals(published)) {
+            published = current;
+            onChange.accept(current);
+        }
+    }
+
+    HeaderNames names() {
+        return names;
+    }
+
+    TrafficEvents events() {
+        return events;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    HostGate gate() {
+        return gate;
+    }
+
+    long newId() {
+        return nextId++;
+    }
+
+    void offer(HostExchange exchange) {
+        exchanges.put(exchange.offered().id(), exchange);
+        exchange.settled(gate.offer(exchange.offered(), System.nanoTime()));
+        scheduleExpiry();
+    }
+
+    ClientCall callTarget(long maxIdleNanos, CallListener listener) {
+        return targetConnections.call(targetAddress, maxIdleNanos, listener);
+    }
+
+    /** Ends an exchange and gives its slot to a waiting one. */
+    void finished(HostExchange exchange, RunResult result, long runNanos) {
+        Offered offered = exchange.offered();
+        if (exchanges.remove(offered.id()) == null) {
+            return;
+        }
+        gate.withdraw(offered);
+        settle(gate.release(offered, result, runNanos, System.nanoTime()));
+        publish();
+    }
+
+    private void settle(List<HostGate.Settled> settled) {
+        for (HostGate.Settled one : settled) {
+            HostExchange exchange = exchanges.get(one.offered().id());
+            if (exchange != null) {
+                exchange.settled(one.admittance());
+            }
+        }
+    }
+
+    private void scheduleExpiry() {
+        if (expiryScheduled || gate.waitingCount() == 0) {
+            return;
+        }
+        expiryScheduled = true;
+        loop.schedule(
+                () -> {
+                    expiryScheduled = false;
+                    settle(gate.expire(System.nanoTime()));
+                    scheduleExpiry();
+                },
+                EXPIRY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/OutcomeHeaders.java
@@ -0,0 +1,30 @@
+package org.azureshed.traffic;
+
+/** Headers by which the host side tells the entry side what became of an offered request. */
+final class OutcomeHeaders {
+    /** One of the values below. */
+    static final String OUTCOME = "Azureshed-Outcome";
+
+    /** The target answered; the response is its answer. */
+    static final String COMPLETED = "completed";
+
+    /** The request did not run and never will. */
+    static final String NOT_RUN = "not-run";
+
+    /** The target received the request and stated that it did not run it. */
+    static final String SHED = "shed";
+
+    /** The request may have run. */
+    static final String UNKNOWN = "unknown";
+
+    /** Label of the refusal reason, or a cause for the log. */
+    static final String REASON = "Azureshed-Reason";
+
+    /** Estimated milliseconds until a slot is free. */
+    static final String WAIT = "Azureshed-Wait-Ms";
+
+    /** Present if the target was passed over because it fails many requests. */
+    static final String SUSPECT = "Azureshed-Suspect";
+
+    private OutcomeHeaders() {}
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/SmallCalls.java
@@ -0,0 +1,171 @@
+package org.azureshed.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Sends small calls with a whole body in memory, to other nodes and to the store. No call is
+ * repeated.
+ *
+ * <pre>{@code
+ * calls.send(address, "GET", "/status", new byte[0], 500, result -> ...);
+ * }</pre>
+ */
+public final class SmallCalls {
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    private final EventLoop loop;
+    private final ConnectionPool connections;
+
+    /** How a call ended. */
+    public sealed interface Result {
+        /**
+         * A response arrived.
+         *
+         * @param status HTTP status
+         * @param body its whole body
+         */
+        record Response(int status, byte[] body) implements Result {}
+
+        /**
+         * No whole response arrived.
+         *
+         * @param cause for the log
+         * @param mayHaveArrived whether the server may have carried out the call
+         */
+        record NoResponse(String cause, boolean mayHaveArrived) implements Result {}
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param loop event loop of the connections
+     * @param connections connections to use
+     */
+    public SmallCalls(EventLoop loop, ConnectionPool connections) {
+        this.loop = loop;
+        this.connections = connections;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param address IP address and port of the server
+     * @param method HTTP method
+     * @param path path and query
+     * @param body JSON body; empty for none
+     * @param timeoutMillis longest wait for the whole response
+     * @param done receives the result, once, on the event loop
+     */
+    public void send(
+            String address,
+            String method,
+            String path,
+            byte[] body,
+            long timeoutMillis,
+            Consumer<Result> done) {
+        Call call = new Call(address, method, path, body, done);
+        var timeout =
+                loop.schedule(call::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+        call.timeout = () -> timeout.cancel(false);
+        call.connection = connections.call(address, Long.MAX_VALUE, call);
+    }
+
+    private final class Call implements CallListener {
+        private final String address;
+        private final String method;
+        private final String path;
+        private final byte[] body;
+        private final Consumer<Result> done;
+        private final ByteBuf received = Unpooled.buffer(0);
+        private Runnable timeout;
+        private ClientCall connection;
+        private boolean sent;
+        private boolean ended;
+        private int status;
+
+        Call(String address, String method, String path, byte[] body, Consumer<Result> done) {
+            this.address = address;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.done = done;
+        }
+
+        @Override
+        public void connected() {
+            // A kept connection reports back before the call is assigned.
+            loop.execute(this::write);
+        }
+
+        private void write() {
+            if (ended) {
+                return;
+            }
+            DefaultHttpRequest request =
+                    new DefaultHttpRequest(
+                            HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path);
+            request.headers().set(HttpHeaderNames.HOST, address);
+            if (body.length > 0) {
+                request.headers()
+                        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                        .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+            sent = true;
+            connection.write(request);
+            connection.write(new DefaultLastHttpContent(Unpooled.wrappedBuffer(body)));
+            connection.flush();
+        }
+
+        @Override
+        public boolean head(HttpResponse response) {
+            status = response.status().code();
+            return true;
+        }
+
+        @Override
+        public void content(ByteBuf data) {
+            if (received.readableBytes() + data.readableBytes() > MAX_BODY_BYTES) {
+                connection.cancel();
+                end(new Result.NoResponse("response too large", true));
+                return;
+            }
+            received.writeBytes(data);
+        }
+
+        @Override
+        public void end() {
+            end(new Result.Response(status, ByteBufUtil.getBytes(received)));
+        }
+
+        @Override
+        public void failed(CallFailure failure) {
+            end(new Result.NoResponse(failure.name(), sent));
+        }
+
+        private void timedOut() {
+            if (!ended) {
+                connection.cancel();
+                end(new Result.NoResponse("timeout", sent));
+            }
+        }
+
+        private void end(Result result) {
+            if (!ended) {
+                ended = true;
+                timeout.run();
+                done.accept(result);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/SocketOptions.java
@@ -0,0 +1,53 @@
+package org.azureshed.traffic;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import jdk.net.ExtendedSocketOptions;
+
+/** Options of all sockets: connections that went silent are noticed by keep-alive probes. */
+final class SocketOptions {
+    /** Seconds without data before the first keep-alive probe. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 2;
+
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
+    /** A herd of returning callers connects within one burst. */
+    private static final int BACKLOG = 1024;
+
+    private SocketOptions() {}
+
+    static ServerBootstrap server(ServerBootstrap bootstrap) {
+        return bootstrap
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                        KEEP_ALIVE_IDLE_SECONDS)
+                .childOption(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                        KEEP_ALIVE_INTERVAL_SECONDS)
+                .childOption(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                        KEEP_ALIVE_PROBES);
+    }
+
+    static Bootstrap client(Bootstrap bootstrap) {
+        return bootstrap
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                        KEEP_ALIVE_IDLE_SECONDS)
+                .option(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                        KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                        KEEP_ALIVE_PROBES);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -0,0 +1,90 @@
+package org.azureshed.traffic;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.function.Supplier;
+
+/** Opens the listeners of a node. */
+public final class TrafficServers {
+    private static final int MAX_LINE_BYTES = 16 << 10;
+    private static final int MAX_HEADER_BYTES = 32 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private TrafficServers() {}
+
+    /**
+     * Listens for callers.
+     *
+     * @param loop event loop of the connections
+     * @param address IP address and port
+     * @param service the entry side
+     * @return the listener
+     */
+    public static Channel entry(EventLoop loop, String address, EntryService service) {
+        return listen(loop, address, () -> new EntryHandler(service));
+    }
+
+    /**
+     * Listens for other nodes' offers.
+     *
+     * @param loop event loop of the connections
+     * @param address IP address and port
+     * @param service the host side
+     * @return the listener
+     */
+    public static Channel host(EventLoop loop, String address, HostService service) {
+        return listen(loop, address, () -> new HostHandler(service));
+    }
+
+    /**
+     * Listens for small calls: health checks, heartbeats and other nodes' messages.
+     *
+     * @param loop event loop of the connections
+     * @param address IP address and port
+     * @param calls answers the calls
+     * @return the listener
+     */
+    public static Channel control(EventLoop loop, String address, ControlCalls calls) {
+        return listen(loop, address, () -> new ControlHandler(calls));
+    }
+
+    private static Channel listen(
+            EventLoop loop, String address, Supplier<ChannelHandler> handler) {
+        int colon = address.lastIndexOf(':');
+        return SocketOptions.server(
+                        new ServerBootstrap()
+                                .group(loop)
+                                .channel(NioServerSocketChannel.class)
+                                .childHandler(new Initializer(handler)))
+                .bind(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final Supplier<ChannelHandler> handler;
+
+        Initializer(Supplier<ChannelHandler> handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new HttpRequestDecoder(
+                                    MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(handler.get());
+        }
+    }
+}
