--- /dev/null
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -0,0 +1,289 @@
+package org.azureshed.platform.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/**
+ * A stand-in of the platform's store with the faults that the platform shows: refused calls, lost
+ * answers, a dropped history and silence.
+ *
+ * <pre>{@code
+ * try (StoreStandIn store = new StoreStandIn("127.0.0.1", 0)) {
+ *     store.put("config", "main", configuration);
+ * }
+ * }</pre>
+ */
+public final class StoreStandIn implements AutoCloseable {
+    private static final String PREFIX = "/objects/";
+    private static final int NO_BODY = -1;
+
+    private final ObjectMapper json = new ObjectMapper();
+    private final HttpServer server;
+    private final Map<String, Map<String, ObjectNode>> kinds = new HashMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private long revision = 100;
+    private long oldestRevision = 100;
+    private int writes;
+    private volatile Fault fault = Fault.NONE;
+    private volatile Predicate<String> faulty = caller -> true;
+
+    private record Event(long revision, String kind, ObjectNode object, boolean removed) {}
+
+    /** How the store treats calls. */
+    public enum Fault {
+        /** Normally. */
+        NONE,
+        /** Answers 503 and does nothing. */
+        BUSY,
+        /** Answers 429 and does nothing. */
+        RATE_LIMITED,
+        /** Carries out writes and closes the connection without an answer. */
+        LOST_ANSWERS,
+        /** Does nothing and never answers. */
+        SILENT
+    }
+
+    /**
+     * Starts the store.
+     *
+     * @param host address to listen on
+     * @param port port to listen on; 0 for any
+     * @throws IOException if it cannot listen
+     */
+    public StoreStandIn(String host, int port) throws IOException {
+        server = HttpServer.create(new InetSocketAddress(host, port), 0);
+        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        server.createContext(PREFIX, this::handle);
+        server.start();
+    }
+
+    /**
+     * Where it listens.
+     *
+     * @return IP address and port
+     */
+    public String address() {
+        InetSocketAddress bound = server.getAddress();
+        return bound.getAddress().getHostAddress() + ':' + bound.getPort();
+    }
+
+    /**
+     * Sets how calls are treated.
+     *
+     * @param next the treatment
+     */
+    public void fault(Fault next) {
+        fault = next;
+    }
+
+    /**
+     * Limits the fault to some callers.
+     *
+     * @param callers tells by the caller's IP address whether the fault applies
+     */
+    public void faultFor(Predicate<String> callers) {
+        faulty = callers;
+    }
+
+    /**
+     * Writes an object as the operator does.
+     *
+     * @param kind its kind
+     * @param name its name
+     * @param content its content
+     */
+    public synchronized void put(String kind, String name, JsonNode content) {
+        store(kind, name, content);
+    }
+
+    /** Drops the history, so that watches from before have to list again. */
+    public synchronized void dropHistory() {
+        revision++;
+        oldestRevision = revision;
+        history.clear();
+        notifyAll();
+    }
+
+    /**
+     * Writes carried out for nodes.
+     *
+     * @return their number
+     */
+    public synchronized int writes() {
+        return writes;
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        String caller = exchange.getRemoteAddress().getAddress().getHostAddress();
+        Fault present = faulty.test(caller) ? fault : Fault.NONE;
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        switch (present) {
+            case BUSY -> answer(exchange, 503, null);
+            case RATE_LIMITED -> answer(exchange, 429, null);
+            case SILENT -> awaitFaultEnd();
+            case LOST_ANSWERS -> {
+                boolean write = !exchange.getRequestMethod().equals("GET");
+                if (write) {
+                    change(exchange, body);
+                }
+                exchange.close();
+            }
+            default -> carryOut(exchange, body);
+        }
+    }
+
+    private void awaitFaultEnd() {
+        try {
+            while (fault == Fault.SILENT) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void carryOut(HttpExchange exchange, byte[] body) throws IOException {
+        if (!exchange.getRequestMethod().equals("GET")) {
+            Reply reply = change(exchange, body);
+            answer(exchange, reply.status(), reply.body());
+            return;
+        }
+        Map<String, String> query = query(exchange);
+        String[] parts = parts(exchange);
+        if (parts.length > 1) {
+            ObjectNode object = find(parts[0], parts[1]);
+            answer(exchange, object == null ? 404 : 200, object);
+        } else if (query.containsKey("watch")) {
+            long after = Long.parseLong(query.get("watch"));
+            long wait = Long.parseLong(query.getOrDefault("waitMs", "0"));
+            ObjectNode events = watch(parts[0], after, wait);
+            answer(exchange, events == null ? 410 : 200, events);
+        } else {
+            answer(exchange, 200, list(parts[0], query.getOrDefault("after", "")));
+        }
+    }
+
+    private record Reply(int status, ObjectNode body) {}
+
+    private Reply change(HttpExchange exchange, byte[] body) throws IOException {
+        String[] parts = parts(exchange);
+        JsonNode sent = json.readTree(body);
+        JsonNode content = sent.path("specification");
+        synchronized (this) {
+            writes++;
+            if (exchange.getRequestMethod().equals("POST")) {
+                String name = sent.path("metadata").path("name").asText();
+                ObjectNode known = find(parts[0], name);
+                return known != null
+                        ? new Reply(409, known)
+                        : new Reply(201, store(parts[0], name, content));
+            }
+            ObjectNode known = find(parts[0], parts[1]);
+            if (known == null) {
+                return new Reply(404, null);
+            }
+            return known.path("specification").equals(content)
+                    ? new Reply(200, known)
+                    : new Reply(200, store(parts[0], parts[1], content));
+        }
+    }
+
+    private synchronized ObjectNode store(String kind, String name, JsonNode content) {
+        revision++;
+        ObjectNode object = json.createObjectNode();
+        object.putObject("metadata").put("name", name).put("revision", revision);
+        object.set("specification", content);
+        kinds.computeIfAbsent(kind, key -> new TreeMap<>()).put(name, object);
+        history.add(new Event(revision, kind, object, false));
+        notifyAll();
+        return object;
+    }
+
+    private synchronized ObjectNode find(String kind, String name) {
+        return kinds.getOrDefault(kind, Map.of()).get(name);
+    }
+
+    private synchronized ObjectNode list(String kind, String after) {
+        ObjectNode page = json.createObjectNode();
+        ArrayNode items = page.putArray("items");
+        kinds.getOrDefault(kind, Map.of())
+                .forEach(
+                        (name, object) -> {
+                            if (name.compareTo(after) > 0) {
+                                items.add(object);
+                            }
+                        });
+        return page.put("hasMore", false).put("at", revision);
+    }
+
+    private synchronized ObjectNode watch(String kind, long after, long waitMillis) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        while (true) {
+            if (after < oldestRevision) {
+                return null;
+            }
+            ObjectNode result = json.createObjectNode();
+            ArrayNode events = result.putArray("events");
+            for (Event event : history) {
+                if (event.kind().equals(kind) && event.revision() > after) {
+                    events.addObject().put("removed", event.removed()).set("object", event.object());
+                }
+            }
+            long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+            if (!events.isEmpty() || left <= 0) {
+                return result.put("at", revision);
+            }
+            try {
+                wait(left);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return null;
+            }
+        }
+    }
+
+    private static String[] parts(HttpExchange exchange) {
+        return exchange.getRequestURI().getPath().substring(PREFIX.length()).split("/");
+    }
+
+    private static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        String text = exchange.getRequestURI().getQuery();
+        if (text != null) {
+            for (String pair : text.split("&")) {
+                int equals = pair.indexOf('=');
+                query.put(pair.substring(0, equals), pair.substring(equals + 1));
+            }
+        }
+        return query;
+    }
+
+    private void answer(HttpExchange exchange, int status, JsonNode body) throws IOException {
+        byte[] bytes = body == null ? new byte[0] : json.writeValueAsBytes(body);
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        exchange.sendResponseHeaders(status, bytes.length == 0 ? NO_BODY : bytes.length);
+        if (bytes.length > 0) {
+            exchange.getResponseBody().write(bytes);
+        }
+        exchange.close();
+    }
+}
