Count repeats at the targets and suspect a target at its first broken connection

Each of 35 entry sides had about one retry per window, so most failures found no token while the fleet's budget was hardly used; targets that reset connections were avoided only after the second loss. Change: the host side counts repeats and refuses them before they run; 8 to 11 targets share a service's budget and a repeat can be offered to the next. A broken connection makes a target suspect at once.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -15,8 +15,9 @@
  *
  * <p>The request is offered to one target after another until one has a free slot, then queued at
  * the target with the shortest wait. After a failure it is sent to another target only if it did
- * not run, or may run twice and the retry budget allows it. A repeatable request without an answer
- * by the route's target latency is sent to a second target, and the first answer counts.
+ * not run, or may run twice and the host side's retry budget allows it. A repeatable request
+ * without an answer by the route's target latency is sent to a second target, and the first answer
+ * counts.
  *
  * <p>Not thread-safe. Every call returns the effects to carry out, in order.
  */
@@ -44,7 +45,6 @@
     private final long startNanos;
     private final long limitNanos;
     private final double spread;
-    private final RetryShare retries;
     private final List<NodeEntry> candidates;
 
     private final Map<Integer, Attempt> attempts = new HashMap<>();
@@ -80,7 +80,6 @@
      *
      * @param route its route
      * @param candidates targets of its service, best first
-     * @param retries this node's part of the service's retry budget
      * @param startNanos when the request arrived
      * @param limitNanos when its answer must be on the way
      * @param spread random number from 0 to 1 that spreads the return of refused callers
@@ -88,13 +87,11 @@
     public Exchange(
             ForwardRoute route,
             List<NodeEntry> candidates,
-            RetryShare retries,
             long startNanos,
             long limitNanos,
             double spread) {
         this.route = route;
         this.candidates = List.copyOf(candidates);
-        this.retries = retries;
         this.startNanos = startNanos;
         this.limitNanos = limitNanos;
         this.spread = spread;
@@ -114,7 +111,6 @@
         effects.clear();
         switch (event) {
             case ExchangeEvent.Started ignored -> {
-                retries.requestStarted();
                 offerNext(nowNanos);
                 wake(nowNanos);
             }
@@ -292,11 +288,9 @@
         effects.add(new ExchangeEffect.WakeAt(next));
     }
 
-    /** Whether the request may be sent once more; takes a token of the budget if so. */
+    /** Whether the request may be sent once more; the host side checks the retry budget. */
     private boolean retryAllowed(long nowNanos) {
-        return sent < route.attempts()
-                && limitNanos - nowNanos > MIN_RETRY_NANOS
-                && retries.tryRetry(nowNanos);
+        return sent < route.attempts() && limitNanos - nowNanos > MIN_RETRY_NANOS;
     }
 
     private void offerNext(long nowNanos) {
@@ -363,8 +357,7 @@
                         .mapToLong(Long::longValue)
                         .min()
                         .orElse(MIN_RETRY_AFTER_MILLIS);
-        long bounded =
-                Math.clamp(shortest, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS / 2);
+        long bounded = Math.clamp(shortest, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS / 2);
         return bounded + (long) (spread * bounded);
     }
 
--- a/src/main/java/org/azureshed/dispatch/TargetOrder.java
+++ b/src/main/java/org/azureshed/dispatch/TargetOrder.java
@@ -57,10 +57,8 @@
     }
 
     private int rank(NodeEntry node, boolean trial, long nowNanos) {
-        Condition condition =
-                node.target().map(TargetEntry::condition).orElse(Condition.GONE);
-        int conditionRank =
-                trial && condition == Condition.SUSPECT ? -1 : condition.ordinal();
+        Condition condition = node.target().map(TargetEntry::condition).orElse(Condition.GONE);
+        int conditionRank = trial && condition == Condition.SUSPECT ? -1 : condition.ordinal();
         int pathRank = paths.avoided(node.name(), nowNanos) ? Condition.values().length : 0;
         int zoneRank = node.availabilityZone().equals(availabilityZone) ? 0 : 1;
         return 2 * (pathRank + conditionRank) + zoneRank;
--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -37,9 +37,28 @@
                     Comparator.comparingInt(Offered::priority)
                             .thenComparingLong(Offered::limitNanos)
                             .thenComparingLong(Offered::id));
+    private final RetryShare retries;
     private Optional<TargetEntry> target = Optional.empty();
     private boolean nodeStopping;
 
+    /**
+     * Creates a gate without a target.
+     *
+     * @param retries the target's share of its service's retry budget
+     */
+    public HostGate(RetryShare retries) {
+        this.retries = retries;
+    }
+
+    /**
+     * Applies a change of the number of targets that share the service's retry budget.
+     *
+     * @param targets their number
+     */
+    public void shareRetries(int targets) {
+        retries.resize(targets);
+    }
+
     /** A waiting request that got a slot, or was refused. */
     public record Settled(Offered offered, Admittance admittance) {}
 
@@ -87,10 +106,14 @@
         if (health.condition(nowNanos) == Condition.SUSPECT && offered.mode() != OfferMode.FORCE) {
             boolean trial = offered.repeatable() && hasFreeSlot() && health.startTrial(nowNanos);
             if (!trial) {
-                return refused(RefusalReason.TARGET_SHED, 0, true);
+                return refused(RefusalReason.TARGET_SUSPECT, 0, true);
             }
         }
-        if (hasFreeSlot() && queue.isEmpty()) {
+        boolean free = hasFreeSlot() && queue.isEmpty();
+        if (free && !countTowardsBudget(offered, nowNanos)) {
+            return refused(RefusalReason.RETRY_BUDGET, 0, false);
+        }
+        if (free) {
             running.put(offered.id(), offered);
             return new Admittance.Admitted();
         }
@@ -98,8 +121,10 @@
         boolean fits = nowNanos + waitNanos + runNanos() <= offered.limitNanos();
         boolean room = queue.size() < MAX_QUEUE_PER_SLOT * slots();
         if (offered.mode() == OfferMode.IMMEDIATE || !fits || !room) {
-            return refused(
-                    RefusalReason.QUEUE_FULL, (long) (waitNanos / NANOS_PER_MILLI), false);
+            return refused(RefusalReason.QUEUE_FULL, (long) (waitNanos / NANOS_PER_MILLI), false);
+        }
+        if (!countTowardsBudget(offered, nowNanos)) {
+            return refused(RefusalReason.RETRY_BUDGET, 0, false);
         }
         queue.add(offered);
         return new Admittance.Queued();
@@ -114,8 +139,7 @@
      * @param nowNanos current time
      * @return waiting requests that are decided by it
      */
-    public List<Settled> release(
-            Offered offered, RunResult result, long runNanos, long nowNanos) {
+    public List<Settled> release(Offered offered, RunResult result, long runNanos, long nowNanos) {
         if (running.remove(offered.id()) == null) {
             return List.of();
         }
@@ -144,8 +168,7 @@
         for (Offered offered : List.copyOf(queue)) {
             if (nowNanos + runNanos() / 2 > offered.limitNanos()) {
                 queue.remove(offered);
-                expired.add(
-                        new Settled(offered, refused(RefusalReason.QUEUE_TIMEOUT, 0, false)));
+                expired.add(new Settled(offered, refused(RefusalReason.QUEUE_TIMEOUT, 0, false)));
             }
         }
         return expired;
@@ -184,6 +207,15 @@
         return queue.size();
     }
 
+    /** Counts a first attempt, or takes a token for a repeat; false if there is none. */
+    private boolean countTowardsBudget(Offered offered, long nowNanos) {
+        if (offered.repeat()) {
+            return retries.tryRetry(nowNanos);
+        }
+        retries.requestStarted();
+        return true;
+    }
+
     private Optional<RefusalReason> closedReason(Offered offered) {
         if (nodeStopping) {
             return Optional.of(RefusalReason.NODE_DRAINING);
--- a/src/main/java/org/azureshed/host/Offered.java
+++ b/src/main/java/org/azureshed/host/Offered.java
@@ -10,6 +10,7 @@
  * @param mode what may be done with it
  * @param priority rank; 0 is served first
  * @param repeatable whether it may run more than once
+ * @param repeat whether a target has received it before
  * @param limitNanos when its answer must be on the way
  */
 public record Offered(
@@ -18,4 +19,5 @@
         OfferMode mode,
         int priority,
         boolean repeatable,
+        boolean repeat,
         long limitNanos) {}
--- a/src/main/java/org/azureshed/dispatch/RetryShare.java
+++ b/src/main/java/org/azureshed/host/RetryShare.java
@@ -1,12 +1,13 @@
-package org.azureshed.dispatch;
+package org.azureshed.host;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.util.concurrent.TimeUnit;
 
 /**
- * This node's share of the fleet's retry budget for one service. No node tells another about its
- * retries, so each may use only a fixed part. Not thread-safe.
+ * One target's share of its service's retry budget. Repeats are counted where they arrive: a target
+ * sees a steady part of the service's requests, and a repeat that one target may not run can be
+ * offered to the next, so that together they use the whole budget. Not thread-safe.
  */
 public final class RetryShare {
     /** Left for the calls that a repeated run makes, which count against the called service. */
@@ -24,31 +25,31 @@
     /**
      * Creates a share.
      *
-     * @param ratio retries per request that the fleet may send, 0 to 1
-     * @param slack retries that the fleet may send beyond it in each window
+     * @param ratio retries per request of the service, 0 to 1
+     * @param slack retries of the service beyond it in each window
      * @param windowSeconds length of the window in seconds
-     * @param nodes nodes that share the budget, at least 1
+     * @param targets targets that share the budget, at least 1
      * @param nowNanos current time
      */
     public RetryShare(
-            double ratio, double slack, double windowSeconds, int nodes, long nowNanos) {
-        checkArgument(nodes > 0, "nodes must be positive, not %s", nodes);
+            double ratio, double slack, double windowSeconds, int targets, long nowNanos) {
+        checkArgument(targets > 0, "targets must be positive, not %s", targets);
         this.ratio = ratio * USED_PART;
         this.slack = slack * USED_PART;
         this.windowSeconds = windowSeconds;
         this.refilledNanos = nowNanos;
-        resize(nodes);
+        resize(targets);
         this.tokens = capacity;
     }
 
     /**
-     * Applies a change of the fleet's size.
+     * Applies a change of the service's size.
      *
-     * @param nodes nodes that share the budget
+     * @param targets targets that share the budget
      */
-    public void resize(int nodes) {
+    public void resize(int targets) {
         // Half of the share may be spent at once, the other half flows in during the window.
-        capacity = Math.max(1, slack / 2 / Math.max(1, nodes));
+        capacity = Math.max(1, slack / 2 / Math.max(1, targets));
         tokens = Math.min(tokens, capacity);
     }
 
@@ -75,7 +76,7 @@
     }
 
     private double refillPerSecond() {
-        // A capacity of one token may be more than this node's half; the refill makes up for it.
+        // A capacity of one token may be more than this target's half; the refill makes up for it.
         return Math.max(0.02, capacity > 1 ? capacity / windowSeconds : 0.02);
     }
 }
--- a/src/main/java/org/azureshed/host/TargetHealth.java
+++ b/src/main/java/org/azureshed/host/TargetHealth.java
@@ -32,10 +32,13 @@
     private static final double SLOW_FACTOR = 2.5;
 
     private static final double SLOW_END_FACTOR = 1.6;
-    private static final double FAST_WEIGHT = 0.25;
+    private static final double FAST_WEIGHT = 0.2;
     private static final double USUAL_WEIGHT = 0.02;
     private static final int MIN_RUNS = 10;
 
+    /** Bounds what one long run adds to the usual time. */
+    private static final double MAX_SAMPLE_FACTOR = 2;
+
     private final Deque<Result> results = new ArrayDeque<>();
     private boolean suspect;
     private boolean slow;
@@ -59,7 +62,7 @@
         if (result == RunResult.NEUTRAL) {
             return;
         }
-        boolean failed = result == RunResult.FAILURE;
+        boolean failed = result != RunResult.SUCCESS;
         results.addLast(new Result(failed, nowNanos));
         if (results.size() > WINDOW) {
             results.removeFirst();
@@ -74,7 +77,7 @@
         if (suspect && successes >= RECOVERY_SUCCESSES) {
             suspect = false;
             results.clear();
-        } else if (!suspect && recentFailures(nowNanos) >= FAILURES) {
+        } else if (!suspect && failed && isEvidence(result, nowNanos)) {
             suspect = true;
             lastTrialNanos = nowNanos;
         }
@@ -126,7 +129,8 @@
         recentNanos = runs == 1 ? runNanos : mix(recentNanos, runNanos, FAST_WEIGHT);
         // The usual time learns quickly at first and then barely, so that a slow phase stands out.
         double weight = Math.max(USUAL_WEIGHT, 1.0 / runs);
-        usualNanos = runs == 1 ? runNanos : mix(usualNanos, runNanos, weight);
+        double bounded = Math.min(runNanos, usualNanos * MAX_SAMPLE_FACTOR);
+        usualNanos = runs == 1 ? runNanos : mix(usualNanos, bounded, weight);
         if (runs >= MIN_RUNS) {
             slow = recentNanos > usualNanos * (slow ? SLOW_END_FACTOR : SLOW_FACTOR);
         }
@@ -136,6 +140,11 @@
         return old + weight * (sample - old);
     }
 
+    /** A sound target answers now and then with an error, but does not break connections. */
+    private boolean isEvidence(RunResult result, long nowNanos) {
+        return result == RunResult.BROKEN || recentFailures(nowNanos) >= FAILURES;
+    }
+
     private int recentFailures(long nowNanos) {
         int count = 0;
         for (Result result : results) {
--- a/src/main/java/org/azureshed/platform/HeartbeatCalls.java
+++ b/src/main/java/org/azureshed/platform/HeartbeatCalls.java
@@ -39,9 +39,7 @@
                 case "PUT" -> intake.heartbeat(heartbeat(id, json.readTree(body)), acknowledge);
                 case "DELETE" ->
                         intake.departed(
-                                id,
-                                body.length == 0 ? 0 : born(json.readTree(body)),
-                                acknowledge);
+                                id, body.length == 0 ? 0 : born(json.readTree(body)), acknowledge);
                 default -> reply.accept(Reply.of(405));
             }
         } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -127,8 +127,7 @@
     private static Result page(String kind, JsonNode body) {
         List<StoredEntry> entries = new ArrayList<>();
         body.path("items").forEach(item -> entries.add(entry(kind, item, false)));
-        return new Result.Done(
-                entries, body.path("at").asLong(), body.path("hasMore").asBoolean());
+        return new Result.Done(entries, body.path("at").asLong(), body.path("hasMore").asBoolean());
     }
 
     private static Result events(String kind, JsonNode body) {
--- a/src/main/java/org/azureshed/platform/standin/ClassCacheWorkload.java
+++ b/src/main/java/org/azureshed/platform/standin/ClassCacheWorkload.java
@@ -40,8 +40,7 @@
                             new Sessions.RouteText("/write/", "non_idempotent", "s", 3_000),
                             new Sessions.RouteText("/file/", "download", "s", 3_000));
             store.put("config", "main", Sessions.configuration(1, routes));
-            Files.writeString(
-                    Path.of(args[0]), settings(first, app, store.address()).toString());
+            Files.writeString(Path.of(args[0]), settings(first, app, store.address()).toString());
             drive(first, app);
             store.put("config", "main", Sessions.configuration(2, routes));
             TimeUnit.MILLISECONDS.sleep(500);
--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -245,7 +245,9 @@
             ArrayNode events = result.putArray("events");
             for (Event event : history) {
                 if (event.kind().equals(kind) && event.revision() > after) {
-                    events.addObject().put("removed", event.removed()).set("object", event.object());
+                    events.addObject()
+                            .put("removed", event.removed())
+                            .set("object", event.object());
                 }
             }
             long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -200,11 +200,16 @@
     }
 
     private static String whole(Request request, int status, String body) {
-        return "HTTP/1.1 " + status + " Status\r\nX-Azureshed-Request-Id: "
+        return "HTTP/1.1 "
+                + status
+                + " Status\r\nX-Azureshed-Request-Id: "
                 + request.requestId()
-                + "\r\nX-Azureshed-Response-Signature: s." + request.requestId()
-                + "\r\nContent-Length: " + body.length()
-                + "\r\n\r\n" + body;
+                + "\r\nX-Azureshed-Response-Signature: s."
+                + request.requestId()
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
     }
 
     private static void write(OutputStream out, String text) throws IOException {
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -221,8 +221,7 @@
         if (!(result instanceof FleetStore.Result.Done done)) {
             log.write("node_listing_failed", "result", result);
             if (!stale) {
-                loop.schedule(
-                        () -> list(after), writeBackoff.next(), TimeUnit.MILLISECONDS);
+                loop.schedule(() -> list(after), writeBackoff.next(), TimeUnit.MILLISECONDS);
             }
             return;
         }
@@ -355,8 +354,7 @@
         for (JsonNode entry : message.path("entries")) {
             NodeEntryCodec.decode(entry)
                     .ifPresentOrElse(
-                            this::heard,
-                            () -> log.write("entry_unreadable", "source", source));
+                            this::heard, () -> log.write("entry_unreadable", "source", source));
         }
     }
 
@@ -367,8 +365,7 @@
         return message;
     }
 
-    private void send(
-            NodeEntry node, String path, byte[] body, Consumer<JsonNode> onReply) {
+    private void send(NodeEntry node, String path, byte[] body, Consumer<JsonNode> onReply) {
         calls.send(
                 peerAddress(node),
                 "POST",
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -17,6 +17,7 @@
 import org.azureshed.directory.Directory;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.host.HostGate;
+import org.azureshed.host.RetryShare;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.ConnectionPool;
 import org.azureshed.traffic.ControlCalls;
@@ -35,7 +36,7 @@
  * node.stop(); // returns when the requests under way have ended
  * }</pre>
  */
-public final class SidecarNode {
+public final class SidecarNode implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
     private static final long NODE_IDLE_MILLIS = 30_000;
     private static final long TARGET_IDLE_MILLIS = 30_000;
@@ -109,10 +110,6 @@
                         directory,
                         nodeConnections,
                         settings.availabilityZone(),
-                        new EntryService.RetryPolicy(
-                                settings.retryRatio(),
-                                settings.retrySlack(),
-                                settings.retryWindowSeconds()),
                         protocol.names(),
                         () -> localService,
                         random.split(),
@@ -121,7 +118,14 @@
                 new ConfigurationKeeper(protocol.configuration(), entry::configure, log);
         this.host =
                 new HostService(
-                        new HostGate(),
+                        new HostGate(
+                                new RetryShare(
+                                        settings.retryRatio(),
+                                        settings.retrySlack(),
+                                        settings.retryWindowSeconds(),
+                                        1,
+                                        System.nanoTime())),
+                        directory,
                         loop,
                         targetConnections,
                         settings.targetAddress(),
@@ -204,6 +208,13 @@
         log.close();
     }
 
+    /** Ends the node at once, as a killed process does. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        log.close();
+    }
+
     private void awaitIdle(long startNanos, CountDownLatch ended) {
         long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         boolean idle = entry.activeCount() == 0 && host.activeCount() == 0;
--- a/src/main/java/org/azureshed/telemetry/KeyValueLine.java
+++ b/src/main/java/org/azureshed/telemetry/KeyValueLine.java
@@ -33,10 +33,7 @@
     private static boolean isPlain(String value) {
         for (int i = 0; i < value.length(); i++) {
             char character = value.charAt(i);
-            if (character <= ' '
-                    || character == '"'
-                    || character == '='
-                    || character == '\\') {
+            if (character <= ' ' || character == '"' || character == '=' || character == '\\') {
                 return false;
             }
         }
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -130,8 +130,7 @@
                 new InetSocketAddress(
                         address.substring(0, colon),
                         Integer.parseInt(address.substring(colon + 1)));
-        ChannelFuture connecting =
-                bootstrap.clone().handler(new Initializer(call)).connect(remote);
+        ChannelFuture connecting = bootstrap.clone().handler(new Initializer(call)).connect(remote);
         call.attach(connecting.channel());
         connecting.addListener(
                 done -> {
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -70,10 +70,7 @@
                 exchange.service()
                         .loop()
                         .schedule(this::offerTimedOut, OFFER_MILLIS, TimeUnit.MILLISECONDS);
-        call =
-                exchange.service()
-                        .nodeConnections()
-                        .call(node.address(), Long.MAX_VALUE, this);
+        call = exchange.service().nodeConnections().call(node.address(), Long.MAX_VALUE, this);
     }
 
     void reading(boolean enabled) {
@@ -125,6 +122,7 @@
                                         offer.mode(),
                                         exchange.route().priority(),
                                         exchange.route().repeatable(),
+                                        exchange.sentBefore(),
                                         exchange.millisLeft(),
                                         hasBody)
                                 .encode())
@@ -251,9 +249,7 @@
             exchange.service().paths().failed(node.name(), System.nanoTime());
         }
         exchange.handle(
-                admitted
-                        ? new ExchangeEvent.Lost(number)
-                        : new ExchangeEvent.PathFailed(number));
+                admitted ? new ExchangeEvent.Lost(number) : new ExchangeEvent.PathFailed(number));
     }
 
     private void offerTimedOut() {
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -87,6 +87,10 @@
         return route;
     }
 
+    boolean sentBefore() {
+        return exchange.sent() > 0;
+    }
+
     long millisLeft() {
         return TimeUnit.NANOSECONDS.toMillis(limitNanos - System.nanoTime());
     }
@@ -111,7 +115,6 @@
                 new Exchange(
                         route,
                         service.candidates(targetService, route.repeatable()),
-                        service.retries(targetService),
                         startNanos,
                         limitNanos,
                         service.spread());
@@ -158,8 +161,7 @@
                 }
             }
             case ExchangeEffect.Deliver deliver -> deliver(attempts.get(deliver.attempt()));
-            case ExchangeEffect.Refuse refuse ->
-                    refuse(refuse.reason(), refuse.retryAfterMillis());
+            case ExchangeEffect.Refuse refuse -> refuse(refuse.reason(), refuse.retryAfterMillis());
             case ExchangeEffect.Fail fail -> fail(fail.status(), fail.cause());
             case ExchangeEffect.WakeAt at -> wakeAt(at.nanos());
         }
@@ -196,9 +198,7 @@
             ForwardedHeaders.copy(source.headers(), response.headers());
             if (source.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
                 response.headers()
-                        .set(
-                                HttpHeaderNames.CONTENT_LENGTH,
-                                response.content().readableBytes());
+                        .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             }
             connectionHeader(response, keep);
             context.writeAndFlush(response);
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -137,8 +137,7 @@
         exchange = null;
         if (!keepConnection) {
             closing = true;
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         awaitRequest();
@@ -174,9 +173,7 @@
     }
 
     private TrafficConfiguration.CallerLimits limits() {
-        return service.configuration()
-                .map(TrafficConfiguration::limits)
-                .orElse(DEFAULT_LIMITS);
+        return service.configuration().map(TrafficConfiguration::limits).orElse(DEFAULT_LIMITS);
     }
 
     private void schedule(long millis, Runnable task) {
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -1,9 +1,7 @@
 package org.azureshed.traffic;
 
 import io.netty.channel.EventLoop;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
@@ -11,7 +9,6 @@
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.dispatch.ForwardRoute;
 import org.azureshed.dispatch.PathBackoff;
-import org.azureshed.dispatch.RetryShare;
 import org.azureshed.dispatch.ServiceSplit;
 import org.azureshed.dispatch.TargetOrder;
 import org.azureshed.dispatch.TrafficConfiguration;
@@ -25,8 +22,6 @@
     private final TargetOrder order;
     private final ServiceSplit split;
     private final SplittableRandom random;
-    private final RetryPolicy retryPolicy;
-    private final Map<String, RetryShare> retryShares = new HashMap<>();
     private final HeaderNames names;
     private final Supplier<String> localService;
     private final TrafficEvents events;
@@ -35,15 +30,6 @@
     private int active;
     private long bufferedBytes;
 
-    /**
-     * The fleet's retry budget for each service.
-     *
-     * @param ratio retries per request, 0 to 1
-     * @param slack retries beyond it in each window
-     * @param windowSeconds length of the window in seconds
-     */
-    public record RetryPolicy(double ratio, double slack, double windowSeconds) {}
-
     /**
      * Creates the entry side.
      *
@@ -51,7 +37,6 @@
      * @param directory nodes and targets
      * @param nodeConnections connections to the host sides of nodes
      * @param availabilityZone the node's availability zone
-     * @param retryPolicy the fleet's retry budget
      * @param names headers that callers and targets use
      * @param localService name of the service beside this node
      * @param random source of random order
@@ -62,7 +47,6 @@
             Directory directory,
             ConnectionPool nodeConnections,
             String availabilityZone,
-            RetryPolicy retryPolicy,
             HeaderNames names,
             Supplier<String> localService,
             SplittableRandom random,
@@ -73,7 +57,6 @@
         this.order = new TargetOrder(availabilityZone, paths, random.split());
         this.split = new ServiceSplit(random.nextDouble());
         this.random = random;
-        this.retryPolicy = retryPolicy;
         this.names = names;
         this.localService = localService;
         this.events = events;
@@ -142,22 +125,6 @@
         return order.order(directory.usable(service), repeatable, System.nanoTime());
     }
 
-    RetryShare retries(String service) {
-        int nodes = Math.max(1, directory.nodes().size());
-        RetryShare share =
-                retryShares.computeIfAbsent(
-                        service,
-                        key ->
-                                new RetryShare(
-                                        retryPolicy.ratio(),
-                                        retryPolicy.slack(),
-                                        retryPolicy.windowSeconds(),
-                                        nodes,
-                                        System.nanoTime()));
-        share.resize(nodes);
-        return share;
-    }
-
     double spread() {
         return random.nextDouble();
     }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -77,6 +77,7 @@
                         offer.mode(),
                         offer.priority(),
                         offer.repeatable(),
+                        offer.repeat(),
                         startNanos + TimeUnit.MILLISECONDS.toNanos(offer.leftMillis()));
     }
 
@@ -221,9 +222,7 @@
         if (length != null) {
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else {
-            forwarded
-                    .headers()
-                    .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            forwarded.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         context.write(forwarded);
     }
@@ -270,7 +269,7 @@
         } else {
             answer(OutcomeHeaders.UNKNOWN, cause);
         }
-        finish(cause, RunResult.FAILURE);
+        finish(cause, RunResult.BROKEN);
     }
 
     private void limitPassed() {
@@ -296,8 +295,7 @@
         if (runStartNanos == 0 || answering) {
             return RunResult.NEUTRAL;
         }
-        double hang =
-                Math.max(MIN_HANG_NANOS, HANG_FACTOR * service.gate().runNanos());
+        double hang = Math.max(MIN_HANG_NANOS, HANG_FACTOR * service.gate().runNanos());
         return System.nanoTime() - runStartNanos > hang ? RunResult.FAILURE : RunResult.NEUTRAL;
     }
 
@@ -324,9 +322,7 @@
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.BAD_GATEWAY,
                         Unpooled.EMPTY_BUFFER);
-        response.headers()
-                .set(OutcomeHeaders.OUTCOME, outcome)
-                .set(OutcomeHeaders.REASON, reason);
+        response.headers().set(OutcomeHeaders.OUTCOME, outcome).set(OutcomeHeaders.REASON, reason);
         write(response);
     }
 
@@ -338,8 +334,7 @@
 
     private void interim(HttpResponseStatus interim) {
         context.writeAndFlush(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, interim, Unpooled.EMPTY_BUFFER));
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, interim, Unpooled.EMPTY_BUFFER));
     }
 
     private void schedule(long millis, Runnable task) {
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.azureshed.directory.Directory;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.host.HostGate;
 import org.azureshed.host.Offered;
@@ -21,6 +22,7 @@
     private static final long EXPIRY_MILLIS = 50;
 
     private final HostGate gate;
+    private final Directory directory;
     private final EventLoop loop;
     private final ConnectionPool targetConnections;
     private final String targetAddress;
@@ -36,6 +38,7 @@
      * Creates the host side.
      *
      * @param gate slots and queue of the local target
+     * @param directory nodes and targets, for the number of targets of a service
      * @param loop event loop of all connections
      * @param targetConnections connections to the local target
      * @param targetAddress IP address and port of the local target
@@ -44,12 +47,14 @@
      */
     public HostService(
             HostGate gate,
+            Directory directory,
             EventLoop loop,
             ConnectionPool targetConnections,
             String targetAddress,
             HeaderNames names,
             TrafficEvents events) {
         this.gate = gate;
+        this.directory = directory;
         this.loop = loop;
         this.targetConnections = targetConnections;
         this.targetAddress = targetAddress;
@@ -73,6 +78,8 @@
      */
     public void apply(Optional<TargetEntry> target) {
         settle(gate.apply(target));
+        target.ifPresent(
+                entry -> gate.shareRetries(Math.max(1, directory.usable(entry.service()).size())));
         publish();
     }
 
--- a/src/main/java/org/azureshed/traffic/OfferHeader.java
+++ b/src/main/java/org/azureshed/traffic/OfferHeader.java
@@ -11,6 +11,7 @@
  * @param mode what the host side may do with the request
  * @param priority rank; 0 is served first
  * @param repeatable whether the request may run more than once
+ * @param repeat whether a target has received the request before
  * @param leftMillis time left for its answer
  * @param hasBody whether the caller sent a body, possibly an empty one
  */
@@ -19,17 +20,26 @@
         OfferMode mode,
         int priority,
         boolean repeatable,
+        boolean repeat,
         long leftMillis,
         boolean hasBody) {
     static final String NAME = "Azureshed-Offer";
 
     String encode() {
-        return "target=" + targetId
-                + ";mode=" + mode
-                + ";priority=" + priority
-                + ";repeatable=" + repeatable
-                + ";left=" + leftMillis
-                + ";body=" + hasBody;
+        return "target="
+                + targetId
+                + ";mode="
+                + mode
+                + ";priority="
+                + priority
+                + ";repeatable="
+                + repeatable
+                + ";repeat="
+                + repeat
+                + ";left="
+                + leftMillis
+                + ";body="
+                + hasBody;
     }
 
     /**
@@ -44,6 +54,7 @@
                 OfferMode.valueOf(part(parts, "mode")),
                 Integer.parseInt(part(parts, "priority")),
                 Boolean.parseBoolean(part(parts, "repeatable")),
+                Boolean.parseBoolean(part(parts, "repeat")),
                 Long.parseLong(part(parts, "left")),
                 Boolean.parseBoolean(part(parts, "body")));
     }
--- a/src/main/java/org/azureshed/traffic/SmallCalls.java
+++ b/src/main/java/org/azureshed/traffic/SmallCalls.java
@@ -75,8 +75,7 @@
             long timeoutMillis,
             Consumer<Result> done) {
         Call call = new Call(address, method, path, body, done);
-        var timeout =
-                loop.schedule(call::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+        var timeout = loop.schedule(call::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
         call.timeout = () -> timeout.cancel(false);
         call.connection = connections.call(address, Long.MAX_VALUE, call);
     }
@@ -113,8 +112,7 @@
                 return;
             }
             DefaultHttpRequest request =
-                    new DefaultHttpRequest(
-                            HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path);
+                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path);
             request.headers().set(HttpHeaderNames.HOST, address);
             if (body.length > 0) {
                 request.headers()
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -63,9 +63,7 @@
                                 .group(loop)
                                 .channel(NioServerSocketChannel.class)
                                 .childHandler(new Initializer(handler)))
-                .bind(
-                        address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)))
+                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
                 .syncUninterruptibly()
                 .channel();
     }
--- a/src/test/java/org/azureshed/ArchitectureTest.java
+++ b/src/test/java/org/azureshed/ArchitectureTest.java
@@ -51,7 +51,10 @@
                             "org.azureshed.ejection..",
                             "org.azureshed.poison..",
                             "org.azureshed.routing..",
-                            "org.azureshed.admission..")
+                            "org.azureshed.admission..",
+                            "org.azureshed.directory..",
+                            "org.azureshed.dispatch..",
+                            "org.azureshed.host..")
                     .and(DescribedPredicate.not(resideInAPackage("..internal..")))
                     .and(
                             DescribedPredicate.describe(
--- /dev/null
+++ b/src/test/java/org/azureshed/directory/DirectoryTest.java
@@ -0,0 +1,75 @@
+package org.azureshed.directory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against nodes that disagree because they heard of changes in another order. */
+class DirectoryTest {
+    private static NodeEntry entry(
+            String name, String address, long incarnation, long revision, Condition condition) {
+        return new NodeEntry(
+                name,
+                "az-1",
+                address,
+                incarnation,
+                revision,
+                Optional.of(new TargetEntry("i-" + name, 1, "shop", 4, condition)));
+    }
+
+    static Stream<Arguments> histories() {
+        NodeEntry first = entry("a", "1:1", 1, 1, Condition.SERVING);
+        NodeEntry leaving = entry("a", "1:1", 1, 2, Condition.LEAVING);
+        NodeEntry restarted = entry("a", "1:1", 2, 0, Condition.SERVING);
+        NodeEntry heir = entry("b", "1:1", 5, 0, Condition.SERVING);
+        return Stream.of(
+                Arguments.of(List.of(first), List.of("a")),
+                Arguments.of(List.of(first, leaving), List.of()),
+                Arguments.of(List.of(leaving, first), List.of()),
+                Arguments.of(List.of(leaving, restarted, first), List.of("a")),
+                // The address went to another node; the former holder is gone.
+                Arguments.of(List.of(first, heir), List.of("b")),
+                Arguments.of(List.of(heir, first), List.of("b")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("histories")
+    void newestEntryOfANodeCounts(List<NodeEntry> heard, List<String> usable) {
+        Directory directory = new Directory();
+        heard.forEach(directory::merge);
+        assertEquals(usable, directory.usable("shop").stream().map(NodeEntry::name).toList());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void orderOfNewsDoesNotMatter(long seed) {
+        List<NodeEntry> news = new ArrayList<>();
+        for (int node = 0; node < 6; node++) {
+            for (int change = 0; change < 4; change++) {
+                news.add(
+                        entry(
+                                "n" + node,
+                                node + ":1",
+                                1 + change / 2,
+                                change % 2,
+                                Condition.values()[change]));
+            }
+        }
+        Directory inOrder = new Directory();
+        news.forEach(inOrder::merge);
+        Collections.shuffle(news, new Random(seed));
+        Directory shuffled = new Directory();
+        news.forEach(shuffled::merge);
+        assertEquals(inOrder.digest(), shuffled.digest());
+        assertEquals(inOrder.usable("shop"), shuffled.usable("shop"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -0,0 +1,225 @@
+package org.azureshed.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.azureshed.directory.Condition;
+import org.azureshed.directory.NodeEntry;
+import org.azureshed.directory.TargetEntry;
+import org.azureshed.model.RefusalReason;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against wrong repeats, wrong promises and callers who wait for nothing. */
+class ExchangeTest {
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final HostRefusal BUSY = new HostRefusal(RefusalReason.QUEUE_FULL, 200, false);
+    private static final HostRefusal SUSPECT =
+            new HostRefusal(RefusalReason.TARGET_SUSPECT, 0, true);
+
+    private static ForwardRoute route(boolean repeatable, int attempts) {
+        return new ForwardRoute(
+                "r",
+                "h",
+                "/",
+                repeatable,
+                3_000,
+                800,
+                1,
+                attempts,
+                List.of(new ForwardRoute.Share("shop", 1)));
+    }
+
+    private static List<NodeEntry> nodes(int count) {
+        List<NodeEntry> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            nodes.add(
+                    new NodeEntry(
+                            "n" + i,
+                            "az",
+                            i + ":1",
+                            1,
+                            0,
+                            Optional.of(
+                                    new TargetEntry("i" + i, 1, "shop", 4, Condition.SERVING))));
+        }
+        return nodes;
+    }
+
+    /** What the entry side does after each event, without timers. */
+    private static List<String> play(
+            boolean repeatable, int attempts, int nodes, List<ExchangeEvent> events) {
+        Exchange exchange =
+                new Exchange(route(repeatable, attempts), nodes(nodes), 0, LIMIT_NANOS, 0.5);
+        List<String> seen = new ArrayList<>();
+        for (ExchangeEvent event : events) {
+            long now = event instanceof ExchangeEvent.Woke ? LIMIT_NANOS : 1;
+            for (ExchangeEffect effect : exchange.handle(event, now)) {
+                describe(effect).ifPresent(seen::add);
+            }
+        }
+        return seen;
+    }
+
+    private static Optional<String> describe(ExchangeEffect effect) {
+        return switch (effect) {
+            case ExchangeEffect.Offer offer ->
+                    Optional.of(offer.node().name() + ' ' + offer.mode());
+            case ExchangeEffect.Cancel cancel -> Optional.of("cancel " + cancel.attempt());
+            case ExchangeEffect.Deliver deliver -> Optional.of("deliver " + deliver.attempt());
+            case ExchangeEffect.Refuse refuse -> Optional.of("refuse " + refuse.reason());
+            case ExchangeEffect.Fail fail -> Optional.of("fail " + fail.status());
+            case ExchangeEffect.WakeAt ignored -> Optional.empty();
+        };
+    }
+
+    private static final ExchangeEvent START = new ExchangeEvent.Started();
+
+    private static ExchangeEvent admitted(int attempt) {
+        return new ExchangeEvent.Admitted(attempt);
+    }
+
+    private static ExchangeEvent refused(int attempt, HostRefusal refusal) {
+        return new ExchangeEvent.Refused(attempt, refusal);
+    }
+
+    static Stream<Arguments> sessions() {
+        ExchangeEvent lost = new ExchangeEvent.Lost(0);
+        ExchangeEvent error = new ExchangeEvent.Answered(0, 500);
+        ExchangeEvent shed = new ExchangeEvent.Shed(0, RefusalReason.TARGET_SHED);
+        ExchangeEvent woke = new ExchangeEvent.Woke();
+        return Stream.of(
+                // No target at all: refused at once.
+                Arguments.of(true, 2, 0, List.of(START), List.of("refuse NO_TARGET")),
+                // A lost run is repeated only if it may be.
+                Arguments.of(
+                        true,
+                        2,
+                        2,
+                        List.of(START, admitted(0), lost),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE")),
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(START, admitted(0), lost),
+                        List.of("n0 IMMEDIATE", "fail 502")),
+                Arguments.of(
+                        true,
+                        1,
+                        2,
+                        List.of(START, admitted(0), lost),
+                        List.of("n0 IMMEDIATE", "fail 502")),
+                // An error is an answer; a repeatable request gets a second chance.
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(START, admitted(0), error),
+                        List.of("n0 IMMEDIATE", "deliver 0")),
+                Arguments.of(
+                        true,
+                        2,
+                        2,
+                        List.of(START, admitted(0), error),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE")),
+                // What did not run may go elsewhere, whatever its kind.
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(START, admitted(0), shed),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE")),
+                Arguments.of(
+                        false,
+                        1,
+                        3,
+                        List.of(START, new ExchangeEvent.PathFailed(0), refused(1, SUSPECT)),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "n2 IMMEDIATE")),
+                // Busy targets are asked to queue it, the shortest queue first.
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(
+                                START,
+                                refused(0, BUSY),
+                                refused(1, new HostRefusal(RefusalReason.QUEUE_FULL, 90, false))),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "n1 QUEUE")),
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, refused(0, BUSY), refused(1, BUSY)),
+                        List.of("n0 IMMEDIATE", "n0 QUEUE", "refuse QUEUE_FULL")),
+                // Failing targets are used when no other is left.
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, refused(0, SUSPECT)),
+                        List.of("n0 IMMEDIATE", "n0 FORCE")),
+                // At the limit the caller is told the truth.
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, admitted(0), woke),
+                        List.of("n0 IMMEDIATE", "cancel 0", "fail 504")),
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, woke),
+                        List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("sessions")
+    void requestEndsAsItsKindAllows(
+            boolean repeatable,
+            int attempts,
+            int nodes,
+            List<ExchangeEvent> events,
+            List<String> expected) {
+        assertEquals(expected, play(repeatable, attempts, nodes, events));
+    }
+
+    /** Guards against a first answer that loses to a later one, or a second one that runs on. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void firstOfTwoAnswersCounts(int winner) {
+        Exchange exchange = new Exchange(route(true, 2), nodes(2), 0, LIMIT_NANOS, 0);
+        exchange.handle(START, 0);
+        exchange.handle(admitted(0), 0);
+        long late = TimeUnit.MILLISECONDS.toNanos(801);
+        exchange.handle(new ExchangeEvent.Woke(), late);
+        exchange.handle(admitted(1), late);
+        List<ExchangeEffect> effects =
+                exchange.handle(new ExchangeEvent.Answered(winner, 200), late);
+        assertEquals(
+                List.of(new ExchangeEffect.Cancel(1 - winner), new ExchangeEffect.Deliver(winner)),
+                effects);
+        assertTrue(exchange.done());
+    }
+
+    /** Guards against callers who come back all at the same moment. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.5, 0.99})
+    void refusedCallersComeBackSpread(double spread) {
+        Exchange exchange = new Exchange(route(false, 2), nodes(1), 0, LIMIT_NANOS, spread);
+        exchange.handle(START, 0);
+        exchange.handle(refused(0, new HostRefusal(RefusalReason.TARGET_DRAINING, 0, false)), 0);
+        Exchange other = new Exchange(route(false, 2), List.of(), 0, LIMIT_NANOS, spread);
+        ExchangeEffect effect = other.handle(START, 0).getFirst();
+        long millis = ((ExchangeEffect.Refuse) effect).retryAfterMillis();
+        assertEquals(250 + (long) (spread * 250), millis);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -0,0 +1,205 @@
+package org.azureshed.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.azureshed.platform.standin.Sessions;
+import org.azureshed.platform.standin.StoreStandIn;
+import org.azureshed.platform.standin.TargetStandIn;
+import org.azureshed.sidecar.SidecarNode;
+import org.azureshed.sidecar.SidecarSettings;
+import org.azureshed.telemetry.DecisionLog;
+
+/** A few nodes in this process, each on a loopback address of its own, with a target beside it. */
+final class SidecarFleet implements AutoCloseable {
+    static final int HOST_PORT = 18300;
+    static final int TARGET_PORT = 18301;
+    static final int HEALTH_PORT = 18302;
+    static final int ENTRY_PORT = 18304;
+    static final int CONTROL_PORT = 18306;
+    static final int PEER_PORT = 18320;
+    static final int SLOTS = 4;
+
+    private static final long WAIT_SECONDS = 15;
+
+    /** Each fleet gets addresses of its own, so that sockets of an earlier one do not matter. */
+    private static final AtomicInteger NEXT_NETWORK = new AtomicInteger(10);
+
+    final StoreStandIn store;
+    final HttpClient client = HttpClient.newHttpClient();
+    final List<TargetStandIn> targets = new ArrayList<>();
+    final List<SidecarNode> nodes = new ArrayList<>();
+    private final int network = NEXT_NETWORK.getAndIncrement();
+    private final AtomicLong sequence = new AtomicLong();
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+
+    static {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
+    }
+
+    /** Starts nodes; node i has a target of service {@code services[i]}. */
+    SidecarFleet(String... services) throws Exception {
+        store = new StoreStandIn("127.0.0.1", 0);
+        store.put("config", "main", configuration(1));
+        for (int i = 0; i < services.length; i++) {
+            addTarget(i);
+            start(i, services[i], true);
+        }
+        for (int i = 0; i < services.length; i++) {
+            heartbeat(i, services[i], "ready", 1);
+        }
+        await("all nodes serve", this::allReady);
+        TimeUnit.MILLISECONDS.sleep(300);
+    }
+
+    static com.fasterxml.jackson.databind.node.ObjectNode configuration(long version) {
+        return Sessions.configuration(
+                version,
+                List.of(
+                        new Sessions.RouteText("/read/", "idempotent", "shop", 4_000),
+                        new Sessions.RouteText("/write/", "non_idempotent", "shop", 4_000),
+                        new Sessions.RouteText("/short/", "non_idempotent", "shop", 700)));
+    }
+
+    String ip(int index) {
+        return "127.0." + network + '.' + (index + 1);
+    }
+
+    String address(int index, int port) {
+        return ip(index) + ':' + port;
+    }
+
+    static String targetId(int index) {
+        return "i-" + index;
+    }
+
+    void addTarget(int index) throws IOException {
+        targets.add(
+                new TargetStandIn(
+                        ip(index),
+                        TARGET_PORT,
+                        targetId(index),
+                        request -> TargetStandIn.Behaviour.answer()));
+    }
+
+    SidecarNode start(int index, String service, boolean firstStart) {
+        SidecarSettings settings =
+                new SidecarSettings(
+                        "node-" + index,
+                        "az-" + index % 2,
+                        service,
+                        address(index, TARGET_PORT),
+                        address(index, ENTRY_PORT),
+                        address(index, HOST_PORT),
+                        address(index, HEALTH_PORT),
+                        address(index, CONTROL_PORT),
+                        address(index, PEER_PORT),
+                        store.address(),
+                        1_500,
+                        3_000,
+                        0.2,
+                        60,
+                        10,
+                        firstStart);
+        DecisionLog log = new DecisionLog(lines, settings.node());
+        SidecarNode node = new SidecarNode(settings, SidecarMain.protocol(settings, log), log);
+        node.start();
+        nodes.add(node);
+        return node;
+    }
+
+    int heartbeat(int index, String service, String state, long bornMillis) throws Exception {
+        String body =
+                Sessions.heartbeat(
+                        address(index, TARGET_PORT),
+                        service,
+                        SLOTS,
+                        state,
+                        sequence.incrementAndGet(),
+                        bornMillis);
+        return control(index, "PUT", targetId(index), body).statusCode();
+    }
+
+    HttpResponse<String> control(int index, String method, String id, String body)
+            throws Exception {
+        String address = address(index, CONTROL_PORT);
+        return Sessions.call(client, method, address, "/instances/" + id, body);
+    }
+
+    HttpResponse<String> request(int index, String method, String path, String id)
+            throws Exception {
+        return Sessions.call(
+                client,
+                method,
+                address(index, ENTRY_PORT),
+                path,
+                method.equals("POST") ? "content of " + id : "",
+                "Host",
+                Sessions.HOST,
+                "X-Azureshed-Request-Id",
+                id,
+                "X-Azureshed-Deadline-Ms",
+                "5000");
+    }
+
+    long runs(String id) {
+        return targets.stream()
+                .flatMap(target -> target.runs().stream())
+                .filter(run -> run.requestId().equals(id))
+                .count();
+    }
+
+    boolean ready(int index) {
+        try {
+            String address = address(index, HEALTH_PORT);
+            return Sessions.call(client, "GET", address, "/readiness", "").statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private boolean allReady() {
+        for (int i = 0; i < nodes.size(); i++) {
+            if (!ready(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not within " + WAIT_SECONDS + " s: " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    String log() {
+        return lines.toString(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (SidecarNode node : nodes) {
+            node.close();
+        }
+        for (TargetStandIn target : targets) {
+            target.close();
+        }
+        store.close();
+        client.close();
+    }
+}
