Refuse requests that were running in several crashes of targets

Cause: a request that crashes each target that runs it was repeated, and its return was accepted at every node. Change: the host side takes a broken connection for a crash when the target then accepts no connection or starts again, and tells all nodes which requests were running. After one crash a request is not repeated by itself, after three it is refused as not run.

--- a/src/main/java/org/azureshed/dispatch/ForwardRoute.java
+++ b/src/main/java/org/azureshed/dispatch/ForwardRoute.java
@@ -35,6 +35,24 @@
      */
     public record Share(String service, double weight) {}
 
+    /**
+     * The same route for a request that must not be sent again by itself.
+     *
+     * @return a copy that allows one attempt
+     */
+    public ForwardRoute withoutRepeats() {
+        return new ForwardRoute(
+                name,
+                host,
+                pathPrefix,
+                repeatable,
+                timeoutMillis,
+                targetLatencyMillis,
+                priority,
+                1,
+                shares);
+    }
+
     /** Checks the arguments. */
     public ForwardRoute {
         checkArgument(!shares.isEmpty(), "route %s has no service", name);
--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -69,11 +69,7 @@
      * @return waiting requests that are decided by it
      */
     public List<Settled> apply(Optional<TargetEntry> announced) {
-        boolean replaced =
-                target.isPresent()
-                        && announced.isPresent()
-                        && !(target.get().id().equals(announced.get().id())
-                                && target.get().bornMillis() == announced.get().bornMillis());
+        boolean replaced = replaces(announced);
         target = announced;
         if (replaced || announced.isEmpty() || !announced.get().condition().usable()) {
             return refuseAll(RefusalReason.TARGET_DRAINING);
@@ -81,6 +77,19 @@
         return fill(0);
     }
 
+    /**
+     * Whether a target is another one than the present, or another start of it.
+     *
+     * @param announced the target, or empty if there is none
+     * @return true if the present target has ended
+     */
+    public boolean replaces(Optional<TargetEntry> announced) {
+        return target.isPresent()
+                && announced.isPresent()
+                && !(target.get().id().equals(announced.get().id())
+                        && target.get().bornMillis() == announced.get().bornMillis());
+    }
+
     /**
      * Refuses all new requests from now on, because the node stops.
      *
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -16,6 +16,8 @@
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
+import org.azureshed.dispatch.SuspectRequests;
+import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.SmallCalls;
 
@@ -41,6 +43,7 @@
 
     private final SidecarSettings settings;
     private final Directory directory;
+    private final SuspectRequests suspects;
     private final FleetStore store;
     private final SmallCalls calls;
     private final EventLoop loop;
@@ -62,6 +65,7 @@
             SidecarSettings settings,
             long incarnation,
             Directory directory,
+            SuspectRequests suspects,
             FleetStore store,
             SmallCalls calls,
             EventLoop loop,
@@ -71,6 +75,7 @@
             DecisionLog log) {
         this.settings = settings;
         this.directory = directory;
+        this.suspects = suspects;
         this.store = store;
         this.calls = calls;
         this.loop = loop;
@@ -122,6 +127,13 @@
         }
     }
 
+    /** Tells all nodes of a request that was running when the target beside this node crashed. */
+    void requestCrashedTarget(RequestFingerprint request) {
+        suspects.crashed(own.name(), request, System.nanoTime());
+        log.write("request_suspected", "request", Long.toHexString(request.value()));
+        announce();
+    }
+
     /** Runs a task when the present entry is in the store. */
     void whenStored(Runnable task) {
         if (!writing && !writeWanted) {
@@ -351,6 +363,7 @@
     }
 
     private void merge(JsonNode message, String source) {
+        mergeSuspects(message.path("suspects"));
         for (JsonNode entry : message.path("entries")) {
             NodeEntryCodec.decode(entry)
                     .ifPresentOrElse(
@@ -358,10 +371,30 @@
         }
     }
 
+    private void mergeSuspects(JsonNode reports) {
+        for (JsonNode report : reports) {
+            suspects.merge(
+                    new SuspectRequests.Report(
+                            report.path("node").asText(),
+                            new RequestFingerprint(report.path("request").asLong()),
+                            report.path("crashes").asInt()),
+                    System.nanoTime());
+        }
+    }
+
     private ObjectNode message(List<NodeEntry> entries) {
         ObjectNode message = json.createObjectNode();
         ArrayNode list = message.putArray("entries");
         entries.forEach(entry -> list.add(NodeEntryCodec.encode(entry)));
+        if (!suspects.isEmpty()) {
+            ArrayNode reports = message.putArray("suspects");
+            for (SuspectRequests.Report report : suspects.reports()) {
+                reports.addObject()
+                        .put("node", report.node())
+                        .put("request", report.request().value())
+                        .put("crashes", report.crashes());
+            }
+        }
         return message;
     }
 
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.azureshed.directory.Directory;
+import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.host.HostGate;
 import org.azureshed.host.RetryShare;
@@ -104,10 +105,12 @@
                 new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, TARGET_IDLE_MILLIS);
         SmallCalls calls = new SmallCalls(loop, nodeConnections);
         Directory directory = new Directory();
+        SuspectRequests suspects = new SuspectRequests();
         this.entry =
                 new EntryService(
                         loop,
                         directory,
+                        suspects,
                         nodeConnections,
                         settings.availabilityZone(),
                         protocol.names(),
@@ -137,6 +140,7 @@
                         settings,
                         incarnation,
                         directory,
+                        suspects,
                         store,
                         calls,
                         loop,
@@ -158,6 +162,7 @@
         Channel listener = TrafficServers.entry(loop, settings.callerListen(), entry);
         loop.execute(
                 () -> {
+                    host.onCrash(fleet::requestCrashedTarget);
                     host.onPublishedChange(fleet::targetChanged);
                     fleet.onFormerTarget(target::restore);
                     watch.start();
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -27,6 +27,7 @@
 import org.azureshed.dispatch.ForwardRoute;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.model.RefusalReason;
+import org.azureshed.poison.RequestFingerprint;
 
 /** One caller's request: carries out the effects of its {@link Exchange} and reports events. */
 final class EntryExchange {
@@ -109,6 +110,16 @@
             return;
         }
         route = found.get();
+        if (!service.suspects().isEmpty()) {
+            RequestFingerprint fingerprint = Fingerprints.of(service.localService(), request, body);
+            if (service.suspects().refused(fingerprint)) {
+                refuseSuspect();
+                return;
+            }
+            if (service.suspects().suspect(fingerprint)) {
+                route = route.withoutRepeats();
+            }
+        }
         targetService = service.nextService(route);
         limitNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(allowedMillis());
         exchange =
@@ -262,6 +273,13 @@
         answer(response, reason.label());
     }
 
+    /** A request that crashed several targets has not run this time and will not. */
+    private void refuseSuspect() {
+        answer(
+                empty(HttpResponseStatus.SERVICE_UNAVAILABLE.code()),
+                RefusalReason.POISON_REQUEST.label());
+    }
+
     private void fail(int status, String cause) {
         answer(empty(status), cause);
     }
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -10,6 +10,7 @@
 import org.azureshed.dispatch.ForwardRoute;
 import org.azureshed.dispatch.PathBackoff;
 import org.azureshed.dispatch.ServiceSplit;
+import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.dispatch.TargetOrder;
 import org.azureshed.dispatch.TrafficConfiguration;
 
@@ -18,6 +19,7 @@
     private final EventLoop loop;
     private final Directory directory;
     private final ConnectionPool nodeConnections;
+    private final SuspectRequests suspects;
     private final PathBackoff paths = new PathBackoff();
     private final TargetOrder order;
     private final ServiceSplit split;
@@ -35,6 +37,7 @@
      *
      * @param loop event loop of all connections
      * @param directory nodes and targets
+     * @param suspects requests that crashed targets
      * @param nodeConnections connections to the host sides of nodes
      * @param availabilityZone the node's availability zone
      * @param names headers that callers and targets use
@@ -45,6 +48,7 @@
     public EntryService(
             EventLoop loop,
             Directory directory,
+            SuspectRequests suspects,
             ConnectionPool nodeConnections,
             String availabilityZone,
             HeaderNames names,
@@ -53,6 +57,7 @@
             TrafficEvents events) {
         this.loop = loop;
         this.directory = directory;
+        this.suspects = suspects;
         this.nodeConnections = nodeConnections;
         this.order = new TargetOrder(availabilityZone, paths, random.split());
         this.split = new ServiceSplit(random.nextDouble());
@@ -113,6 +118,10 @@
         return events;
     }
 
+    SuspectRequests suspects() {
+        return suspects;
+    }
+
     String localService() {
         return localService.get();
     }
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/Fingerprints.java
@@ -0,0 +1,22 @@
+package org.azureshed.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpRequest;
+import org.azureshed.poison.RequestFingerprint;
+
+/** Recognises a request that comes again: by its caller's service, method, path and body. */
+final class Fingerprints {
+    private Fingerprints() {}
+
+    static RequestFingerprint of(String callerService, HttpRequest request, ByteBuf body) {
+        int length = Math.min(body.readableBytes(), RequestFingerprint.BODY_PREFIX_BYTES);
+        return RequestFingerprint.of(
+                callerService,
+                "",
+                request.method().name(),
+                request.uri(),
+                "",
+                ByteBufUtil.getBytes(body, body.readerIndex(), length));
+    }
+}
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -24,6 +24,7 @@
 import org.azureshed.host.Offered;
 import org.azureshed.host.RunResult;
 import org.azureshed.model.RefusalReason;
+import org.azureshed.poison.RequestFingerprint;
 
 /**
  * One offered request at the host side: reserves a slot, tells the entry side, receives the body,
@@ -258,11 +259,20 @@
         if (failure == CallFailure.NOT_CONNECTED) {
             answer(OutcomeHeaders.NOT_RUN, RefusalReason.TARGET_UNREACHABLE.label());
             finish("target-unreachable", RunResult.FAILURE);
+            service.targetCrashed();
         } else {
+            if (failure == CallFailure.CLOSED) {
+                service.connectionBroke(fingerprint());
+            }
             fail(failure.name());
         }
     }
 
+    private RequestFingerprint fingerprint() {
+        return Fingerprints.of(
+                request.headers().get(service.names().callerService(), ""), request, body);
+    }
+
     private void fail(String cause) {
         if (answering) {
             context.close();
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -9,9 +9,11 @@
 import java.util.function.Consumer;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.TargetEntry;
+import org.azureshed.host.CrashEvidence;
 import org.azureshed.host.HostGate;
 import org.azureshed.host.Offered;
 import org.azureshed.host.RunResult;
+import org.azureshed.poison.RequestFingerprint;
 
 /**
  * The host side of a node: connects the gate's decisions with the exchanges that wait for them.
@@ -29,6 +31,8 @@
     private final HeaderNames names;
     private final TrafficEvents events;
     private final Map<Long, HostExchange> exchanges = new HashMap<>();
+    private final CrashEvidence crashEvidence = new CrashEvidence();
+    private Consumer<RequestFingerprint> onCrash = request -> {};
     private Consumer<Optional<TargetEntry>> onChange = entry -> {};
     private Optional<TargetEntry> published = Optional.empty();
     private long nextId;
@@ -77,12 +81,24 @@
      * @param target the target, or empty if there is none
      */
     public void apply(Optional<TargetEntry> target) {
+        if (gate.replaces(target)) {
+            targetCrashed();
+        }
         settle(gate.apply(target));
         target.ifPresent(
                 entry -> gate.shareRetries(Math.max(1, directory.usable(entry.service()).size())));
         publish();
     }
 
+    /**
+     * Sets who hears of the requests that were running when the target crashed.
+     *
+     * @param listener receives each request
+     */
+    public void onCrash(Consumer<RequestFingerprint> listener) {
+        onCrash = listener;
+    }
+
     /** Refuses new requests, because the node stops. */
     public void stop() {
         settle(gate.stop());
@@ -136,6 +152,14 @@
         return targetConnections.call(targetAddress, maxIdleNanos, listener);
     }
 
+    void connectionBroke(RequestFingerprint request) {
+        crashEvidence.connectionBroke(request, System.nanoTime());
+    }
+
+    void targetCrashed() {
+        crashEvidence.targetCrashed(System.nanoTime()).forEach(onCrash);
+    }
+
     /** Ends an exchange and gives its slot to a waiting one. */
     void finished(HostExchange exchange, RunResult result, long runNanos) {
         Offered offered = exchange.offered();
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -277,6 +277,32 @@
         }
     }
 
+    /**
+     * Guards against a request that crashes one target after the other, at whichever node it comes.
+     */
+    @Test
+    void requestThatCrashesTargetsIsRefusedEverywhere() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            for (int crash = 0; crash < 3; crash++) {
+                TargetStandIn target = fleet.targets.getFirst();
+                fleet.heartbeat(1, "shop", "draining", 1);
+                target.behaviour(request -> new Behaviour.Reset());
+                HttpResponse<String> response =
+                        fleet.request(0, "GET", "/read/deadly", "crash-" + crash);
+                assertEquals(502, response.statusCode(), fleet::log);
+                fleet.heartbeat(0, "shop", "ready", 2 + crash);
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            fleet.targets.getFirst().behaviour(request -> Behaviour.answer());
+            for (int node = 0; node < 2; node++) {
+                HttpResponse<String> refused =
+                        fleet.request(node, "GET", "/read/deadly", "again-" + node);
+                assertEquals(503, refused.statusCode(), fleet::log);
+            }
+            assertEquals(0, fleet.runs("again-0") + fleet.runs("again-1"));
+        }
+    }
+
     /** Guards against unreadable heartbeats being taken for targets. */
     @ParameterizedTest
     @ValueSource(
