Count calls of repeated runs against the retry budget and use 85% of it

Change: a node whose target runs a repeat marks the requests that begin beside it; they take a token without being refused. The held-back part shrinks to 15%. The request line names the priority.

--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -198,6 +198,15 @@
                                 : entry);
     }
 
+    /**
+     * Whether the target runs a request that it, or another target, has received before.
+     *
+     * @return true if calls that the target makes now may come from a repeat
+     */
+    public boolean runsRepeat() {
+        return running.values().stream().anyMatch(Offered::repeat);
+    }
+
     /**
      * Requests that hold a slot.
      *
@@ -221,7 +230,11 @@
         if (offered.repeat()) {
             return retries.tryRetry(nowNanos);
         }
-        retries.requestStarted();
+        if (offered.derived()) {
+            retries.derivedRequestStarted();
+        } else {
+            retries.requestStarted();
+        }
         return true;
     }
 
--- a/src/main/java/org/azureshed/host/Offered.java
+++ b/src/main/java/org/azureshed/host/Offered.java
@@ -11,6 +11,7 @@
  * @param priority rank; 0 is served first
  * @param repeatable whether it may run more than once
  * @param repeat whether a target has received it before
+ * @param derived whether it may be a call of a run that was itself a repeat
  * @param limitNanos when its answer must be on the way
  */
 public record Offered(
@@ -20,4 +21,5 @@
         int priority,
         boolean repeatable,
         boolean repeat,
+        boolean derived,
         long limitNanos) {}
--- a/src/main/java/org/azureshed/host/RetryShare.java
+++ b/src/main/java/org/azureshed/host/RetryShare.java
@@ -10,8 +10,11 @@
  * offered to the next, so that together they use the whole budget. Not thread-safe.
  */
 public final class RetryShare {
-    /** Left for the calls that a repeated run makes, which count against the called service. */
-    private static final double USED_PART = 0.7;
+    /** The rest covers targets that join or leave before all others know. */
+    private static final double USED_PART = 0.85;
+
+    /** Longest debt in multiples of the capacity; more would stop repeats for too long. */
+    private static final double MAX_DEBT = 2;
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -58,6 +61,14 @@
         tokens = Math.min(capacity, tokens + ratio);
     }
 
+    /**
+     * Counts a first attempt that may come from a repeated run: it counts as a repeat, but is not
+     * refused.
+     */
+    public void derivedRequestStarted() {
+        tokens = Math.max(-MAX_DEBT * capacity, tokens - 1);
+    }
+
     /**
      * Takes a token for a retry.
      *
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -106,6 +106,14 @@
         SmallCalls calls = new SmallCalls(loop, nodeConnections);
         Directory directory = new Directory();
         SuspectRequests suspects = new SuspectRequests();
+        HostGate gate =
+                new HostGate(
+                        new RetryShare(
+                                settings.retryRatio(),
+                                settings.retrySlack(),
+                                settings.retryWindowSeconds(),
+                                1,
+                                System.nanoTime()));
         this.entry =
                 new EntryService(
                         loop,
@@ -115,19 +123,14 @@
                         settings.availabilityZone(),
                         protocol.names(),
                         () -> localService,
+                        gate::runsRepeat,
                         random.split(),
                         metrics);
         this.configuration =
                 new ConfigurationKeeper(protocol.configuration(), entry::configure, log);
         this.host =
                 new HostService(
-                        new HostGate(
-                                new RetryShare(
-                                        settings.retryRatio(),
-                                        settings.retrySlack(),
-                                        settings.retryWindowSeconds(),
-                                        1,
-                                        System.nanoTime())),
+                        gate,
                         directory,
                         loop,
                         targetConnections,
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -123,6 +123,7 @@
                                         exchange.route().priority(),
                                         exchange.route().repeatable(),
                                         exchange.sentBefore(),
+                                        exchange.derived(),
                                         exchange.millisLeft(),
                                         hasBody)
                                 .encode())
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -54,6 +54,7 @@
     private long limitNanos;
     private ScheduledFuture<?> wake;
     private EntryAttempt delivering;
+    private boolean derived;
     private boolean done;
 
     EntryExchange(
@@ -88,6 +89,11 @@
         return route;
     }
 
+    /** Whether the request may be a call of a repeated run at the target beside this node. */
+    boolean derived() {
+        return derived;
+    }
+
     boolean sentBefore() {
         return exchange.sent() > 0;
     }
@@ -97,6 +103,7 @@
     }
 
     void start() {
+        derived = service.localRepeat();
         service.requestStarted();
         Optional<TrafficConfiguration> configuration = service.configuration();
         if (configuration.isEmpty()) {
@@ -334,6 +341,8 @@
                         route == null ? "" : route.name(),
                         "service",
                         targetService,
+                        "priority",
+                        route == null ? -1 : route.priority(),
                         "status",
                         status,
                         "sent",
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.NodeEntry;
@@ -26,6 +27,7 @@
     private final SplittableRandom random;
     private final HeaderNames names;
     private final Supplier<String> localService;
+    private final BooleanSupplier localRepeat;
     private final TrafficEvents events;
     private Optional<TrafficConfiguration> configuration = Optional.empty();
     private boolean stopping;
@@ -42,6 +44,7 @@
      * @param availabilityZone the node's availability zone
      * @param names headers that callers and targets use
      * @param localService name of the service beside this node
+     * @param localRepeat whether the target beside this node runs a repeated request
      * @param random source of random order
      * @param events hears the outcomes
      */
@@ -53,6 +56,7 @@
             String availabilityZone,
             HeaderNames names,
             Supplier<String> localService,
+            BooleanSupplier localRepeat,
             SplittableRandom random,
             TrafficEvents events) {
         this.loop = loop;
@@ -64,6 +68,7 @@
         this.random = random;
         this.names = names;
         this.localService = localService;
+        this.localRepeat = localRepeat;
         this.events = events;
     }
 
@@ -122,6 +127,10 @@
         return suspects;
     }
 
+    boolean localRepeat() {
+        return localRepeat.getAsBoolean();
+    }
+
     String localService() {
         return localService.get();
     }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -79,6 +79,7 @@
                         offer.priority(),
                         offer.repeatable(),
                         offer.repeat(),
+                        offer.derived(),
                         startNanos + TimeUnit.MILLISECONDS.toNanos(offer.leftMillis()));
     }
 
--- a/src/main/java/org/azureshed/traffic/OfferHeader.java
+++ b/src/main/java/org/azureshed/traffic/OfferHeader.java
@@ -12,6 +12,7 @@
  * @param priority rank; 0 is served first
  * @param repeatable whether the request may run more than once
  * @param repeat whether a target has received the request before
+ * @param derived whether it may be a call of a run that was itself a repeat
  * @param leftMillis time left for its answer
  * @param hasBody whether the caller sent a body, possibly an empty one
  */
@@ -21,6 +22,7 @@
         int priority,
         boolean repeatable,
         boolean repeat,
+        boolean derived,
         long leftMillis,
         boolean hasBody) {
     static final String NAME = "Azureshed-Offer";
@@ -36,6 +38,8 @@
                 + repeatable
                 + ";repeat="
                 + repeat
+                + ";derived="
+                + derived
                 + ";left="
                 + leftMillis
                 + ";body="
@@ -55,6 +59,7 @@
                 Integer.parseInt(part(parts, "priority")),
                 Boolean.parseBoolean(part(parts, "repeatable")),
                 Boolean.parseBoolean(part(parts, "repeat")),
+                Boolean.parseBoolean(part(parts, "derived")),
                 Long.parseLong(part(parts, "left")),
                 Boolean.parseBoolean(part(parts, "body")));
     }
--- a/src/test/java/org/azureshed/host/HostGateTest.java
+++ b/src/test/java/org/azureshed/host/HostGateTest.java
@@ -40,7 +40,7 @@
     }
 
     private Offered offered(OfferMode mode, int priority, boolean repeatable, long limitNanos) {
-        return new Offered(nextId++, "i", mode, priority, repeatable, false, limitNanos);
+        return new Offered(nextId++, "i", mode, priority, repeatable, false, false, limitNanos);
     }
 
     private List<Offered> fillSlots() {
@@ -124,7 +124,8 @@
 
     @Test
     void offerForAnotherTargetIsRefused() {
-        Offered foreign = new Offered(99, "other", OfferMode.QUEUE, 1, true, false, LONG_LIMIT);
+        Offered foreign =
+                new Offered(99, "other", OfferMode.QUEUE, 1, true, false, false, LONG_LIMIT);
         assertEquals(RefusalReason.TARGET_UNKNOWN, reason(gate.offer(foreign, 0)));
     }
 
@@ -183,7 +184,8 @@
         Admittance last = null;
         for (int i = 0; i < 20; i++) {
             Offered repeat =
-                    new Offered(nextId++, "i", OfferMode.IMMEDIATE, 1, true, true, LONG_LIMIT);
+                    new Offered(
+                            nextId++, "i", OfferMode.IMMEDIATE, 1, true, true, false, LONG_LIMIT);
             last = gate.offer(repeat, 0);
             if (last instanceof Admittance.Admitted) {
                 admitted++;
@@ -194,6 +196,21 @@
         assertTrue(admitted > 0 && admitted * 8 <= 60, admitted + " admitted");
     }
 
+    /** Load pattern: repeated runs make calls, which count as repeats but are never refused. */
+    @Test
+    void callsOfRepeatedRunsUseUpTheBudget() {
+        for (int i = 0; i < 10; i++) {
+            Offered call =
+                    new Offered(
+                            nextId++, "i", OfferMode.IMMEDIATE, 1, true, false, true, LONG_LIMIT);
+            assertInstanceOf(Admittance.Admitted.class, gate.offer(call, 0));
+            gate.release(call, RunResult.SUCCESS, RUN_NANOS, 0);
+        }
+        Offered repeat =
+                new Offered(nextId++, "i", OfferMode.IMMEDIATE, 1, true, true, false, LONG_LIMIT);
+        assertEquals(RefusalReason.RETRY_BUDGET, reason(gate.offer(repeat, 0)));
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = RunResult.class,
