--- /dev/null
+++ b/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
@@ -0,0 +1,59 @@
+package org.azureshed.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.azureshed.sidecar.SidecarSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a node that starts with settings it has misread. */
+class SettingsDecoderTest {
+    private static final String VALID =
+            """
+            {"node":"n1","zone":"a","service":"s","appAddress":"10.0.0.1:8301","ip":"10.0.0.1",
+             "listen":{"inbound":"10.0.0.1:8300","outbound":"10.0.0.1:8304",
+                       "ready":"10.0.0.1:8302","control":"10.0.0.1:8306"},
+             "internalPorts":[7620,7635],"platform":{"address":"10.9.0.1:80"},
+             "heartbeatIntervalMs":1500,"bootstrap":true,"unknown":[1],
+             "bounds":["graceS=6","budgetRatio=0.2","budgetSlack=60","budgetWindowS=10"]}
+            """;
+
+    @TempDir private Path directory;
+
+    private SidecarSettings read(String text) throws Exception {
+        return SettingsDecoder.read(Files.writeString(directory.resolve("settings.json"), text));
+    }
+
+    @Test
+    void fieldsGetTheProductsNames() throws Exception {
+        SidecarSettings settings = read(VALID);
+        assertEquals("10.0.0.1:8304", settings.callerListen());
+        assertEquals("10.0.0.1:8300", settings.hostListen());
+        assertEquals("10.0.0.1:7620", settings.peerListen());
+        assertEquals(6_000, settings.graceMillis());
+        assertEquals(0.2, settings.retryRatio());
+        assertTrue(settings.firstStart());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '\0',
+            value = {
+                "\"node\":\"n1\",|/node",
+                "\"outbound\":\"10.0.0.1:8304\",|/listen/outbound",
+                "\"heartbeatIntervalMs\":1500,|/heartbeatIntervalMs",
+                "\"graceS=6\",|graceS"
+            })
+    void missingFieldIsNamed(String left, String named) {
+        IllegalArgumentException error =
+                assertThrows(IllegalArgumentException.class, () -> read(VALID.replace(left, "")));
+        assertTrue(error.getMessage().contains(named), error.getMessage());
+    }
+}
