Count a request as sent only if the target was reached

Cause: after a reservation the host side may find its target unreachable; the attempt still counted, so that the next one was a repeat that needs a token, or was not made at all. Change: such an attempt is taken back; the reducer derives whether a request may have run from its attempts instead of keeping it twice. Result: ExchangeTest, a case that failed before (attempts 1, first target unreachable).

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -59,7 +59,7 @@
     private int queueOffers;
     private int pathFailures;
     private int sent;
-    private boolean mayHaveRun;
+    private boolean lostBefore;
     private boolean hedged;
     private boolean done;
 
@@ -150,7 +150,6 @@
         }
         attempt.admitted = true;
         sent++;
-        mayHaveRun = true;
         reached.add(attempt.node.name());
         wake(nowNanos);
     }
@@ -160,6 +159,10 @@
         if (attempt == null) {
             return;
         }
+        if (attempt.admitted) {
+            // The host side found the target unreachable, so that nothing was sent after all.
+            sent--;
+        }
         HostRefusal refusal = event.refusal();
         lastRefusal = refusal.reason();
         String name = attempt.node.name();
@@ -196,8 +199,7 @@
         lastRefusal = event.reason();
         refusedNow.add(attempt.node.name());
         queueWaitMillis.remove(attempt.node.name());
-        // A shed request has not run, but its arrival counts like that of a repeat.
-        mayHaveRun = attempts.values().stream().anyMatch(other -> other.admitted) || lostBefore;
+        // A shed request has not run, but sending it again counts as a repeat.
         if (retryAllowed(nowNanos)) {
             offerNext(nowNanos);
         } else {
@@ -205,8 +207,6 @@
         }
     }
 
-    private boolean lostBefore;
-
     private void onLost(ExchangeEvent.Lost event, long nowNanos) {
         Attempt attempt = attempts.remove(event.attempt());
         if (attempt == null) {
@@ -250,7 +250,8 @@
 
     private void onWoke(long nowNanos) {
         if (nowNanos - limitNanos >= 0) {
-            boolean unknown = mayHaveRun || lostBefore;
+            boolean unknown =
+                    lostBefore || attempts.values().stream().anyMatch(attempt -> attempt.admitted);
             cancelAll();
             done = true;
             effects.add(
--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -43,10 +43,10 @@
     }
 
     @Override
-    public void list(String kind, String after, boolean allowStale, Consumer<Result> done) {
+    public void list(String kind, String after, boolean staleIsEnough, Consumer<Result> done) {
         String query =
                 (after.isEmpty() ? "" : "&after=" + encoded(after))
-                        + (allowStale ? "&allowStale=1" : "");
+                        + (staleIsEnough ? "&allowStale=1" : "");
         String path = path(kind) + (query.isEmpty() ? "" : "?" + query.substring(1));
         call("GET", path, NOTHING, ANSWER_MILLIS, body -> page(kind, body), done);
     }
--- a/src/main/java/org/azureshed/sidecar/FleetStore.java
+++ b/src/main/java/org/azureshed/sidecar/FleetStore.java
@@ -74,10 +74,10 @@
      *
      * @param kind the kind
      * @param after name after which the page begins; empty for the first page
-     * @param allowStale whether data that is seconds old is enough, at a tenth of the price
+     * @param staleIsEnough whether data that is seconds old is enough, at a tenth of the price
      * @param done receives the result
      */
-    void list(String kind, String after, boolean allowStale, Consumer<Result> done);
+    void list(String kind, String after, boolean staleIsEnough, Consumer<Result> done);
 
     /**
      * Waits for changes of a kind.
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -143,6 +143,21 @@
                         3,
                         List.of(START, new ExchangeEvent.PathFailed(0), refused(1, SUSPECT)),
                         List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "n2 IMMEDIATE")),
+                // A target that accepts no connection has not received the request.
+                Arguments.of(
+                        true,
+                        1,
+                        2,
+                        List.of(
+                                START,
+                                admitted(0),
+                                refused(
+                                        0,
+                                        new HostRefusal(
+                                                RefusalReason.TARGET_UNREACHABLE, 0, false)),
+                                admitted(1),
+                                new ExchangeEvent.Answered(1, 200)),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "deliver 1")),
                 // Busy targets are asked to queue it, the shortest queue first.
                 Arguments.of(
                         false,
