Watch the configuration from the revision of a listing

After a dropped history a node read the object and watched from its revision, which is older than the history, and got 410 again without a pause. Change: list the kind and watch from the listing's revision; pause after 410.

--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -37,11 +37,6 @@
         this.onResult = onResult;
     }
 
-    @Override
-    public void read(String kind, String name, Consumer<Result> done) {
-        call("GET", path(kind, name), NOTHING, ANSWER_MILLIS, body -> single(kind, body), done);
-    }
-
     @Override
     public void list(String kind, String after, boolean staleIsEnough, Consumer<Result> done) {
         String query =
--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -37,7 +37,7 @@
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
     private long oldestRevision = 100;
-    private int writes;
+    private int calls;
     private volatile Fault fault = Fault.NONE;
     private volatile Predicate<String> faulty = caller -> true;
 
@@ -119,12 +119,12 @@
     }
 
     /**
-     * Writes carried out for nodes.
+     * Calls since the start, whatever became of them.
      *
      * @return their number
      */
-    public synchronized int writes() {
-        return writes;
+    public synchronized int calls() {
+        return calls;
     }
 
     @Override
@@ -136,6 +136,9 @@
         String caller = exchange.getRemoteAddress().getAddress().getHostAddress();
         Fault present = faulty.test(caller) ? fault : Fault.NONE;
         byte[] body = exchange.getRequestBody().readAllBytes();
+        synchronized (this) {
+            calls++;
+        }
         switch (present) {
             case BUSY -> answer(exchange, 503, null);
             case RATE_LIMITED -> answer(exchange, 429, null);
@@ -189,7 +192,6 @@
         JsonNode sent = json.readTree(body);
         JsonNode content = sent.path("specification");
         synchronized (this) {
-            writes++;
             if (exchange.getRequestMethod().equals("POST")) {
                 String name = sent.path("metadata").path("name").asText();
                 ObjectNode known = find(parts[0], name);
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -34,22 +34,39 @@
     }
 
     void start() {
-        store.read(
+        list("");
+    }
+
+    /**
+     * Lists the kind instead of reading the one object: only a listing tells the store's present
+     * revision, and a watch from the object's own one fails when the history since then is gone.
+     */
+    private void list(String after) {
+        store.list(
                 KIND,
-                NAME,
+                after,
+                false,
                 result -> {
                     switch (result) {
-                        case FleetStore.Result.Done done -> {
-                            FleetStore.StoredEntry entry = done.entries().getFirst();
-                            regained();
-                            keeper.offer(entry.content(), "store");
-                            watch(entry.revision());
-                        }
+                        case FleetStore.Result.Done done -> listed(done);
                         default -> retry(result, this::start);
                     }
                 });
     }
 
+    private void listed(FleetStore.Result.Done done) {
+        regained();
+        done.entries().stream()
+                .filter(entry -> entry.name().equals(NAME))
+                .forEach(entry -> keeper.offer(entry.content(), "store"));
+        boolean found = done.entries().stream().anyMatch(entry -> entry.name().equals(NAME));
+        if (!found && done.more() && !done.entries().isEmpty()) {
+            list(done.entries().getLast().name());
+        } else {
+            watch(done.revision());
+        }
+    }
+
     private void watch(long revision) {
         store.watch(
                 KIND,
@@ -67,7 +84,7 @@
                         }
                         case FleetStore.Result.HistoryGone ignored -> {
                             log.write("watch_history_gone", "kind", KIND, "revision", revision);
-                            start();
+                            loop.schedule(this::start, backoff.next(), TimeUnit.MILLISECONDS);
                         }
                         // Changes may have been missed meanwhile; the object tells them all.
                         default -> retry(result, this::start);
--- a/src/main/java/org/azureshed/sidecar/FleetStore.java
+++ b/src/main/java/org/azureshed/sidecar/FleetStore.java
@@ -9,7 +9,7 @@
  * call is repeated by the client.
  *
  * <pre>{@code
- * store.read("config", "main", result -> ...);
+ * store.list("config", "", false, result -> ...);
  * }</pre>
  */
 public interface FleetStore {
@@ -60,15 +60,6 @@
         record NoAnswer(String cause) implements Result {}
     }
 
-    /**
-     * Reads an object.
-     *
-     * @param kind its kind
-     * @param name its name
-     * @param done receives the result
-     */
-    void read(String kind, String name, Consumer<Result> done);
-
     /**
      * Lists a page of the objects of a kind.
      *
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -191,6 +191,21 @@
         }
     }
 
+    /** Guards against nodes that ask the store again and again after it has dropped its history. */
+    @Test
+    void droppedHistoryCostsFewCalls() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            int before = fleet.store.calls();
+            for (int i = 0; i < 3; i++) {
+                fleet.store.dropHistory();
+                TimeUnit.MILLISECONDS.sleep(500);
+            }
+            int calls = fleet.store.calls() - before;
+            // A listing and a watch for each node and loss, and the regular listing of nodes.
+            assertTrue(calls <= 2 * (3 * 2 + 1), calls + " calls");
+        }
+    }
+
     private static int status(SidecarFleet fleet, int node, String path) {
         try {
             return fleet.request(node, "GET", path, "c-" + System.nanoTime()).statusCode();
