--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -43,10 +43,6 @@
     private final AtomicLong sequence = new AtomicLong();
     private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
 
-    static {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection");
-    }
-
     /** Starts nodes; node i has a target of service {@code services[i]}. */
     SidecarFleet(String... services) throws Exception {
         store = new StoreStandIn("127.0.0.1", 0);
