--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -90,11 +90,10 @@
         return new ExchangeEvent.Refused(attempt, refusal);
     }
 
-    static Stream<Arguments> sessions() {
+    static Stream<Arguments> failures() {
         ExchangeEvent lost = new ExchangeEvent.Lost(0);
         ExchangeEvent error = new ExchangeEvent.Answered(0, 500);
         ExchangeEvent shed = new ExchangeEvent.Shed(0, RefusalReason.TARGET_SHED);
-        ExchangeEvent woke = new ExchangeEvent.Woke();
         return Stream.of(
                 // No target at all: refused at once.
                 Arguments.of(true, 2, 0, List.of(START), List.of("refuse NO_TARGET")),
@@ -157,7 +156,12 @@
                                                 RefusalReason.TARGET_UNREACHABLE, 0, false)),
                                 admitted(1),
                                 new ExchangeEvent.Answered(1, 200)),
-                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "deliver 1")),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "deliver 1")));
+    }
+
+    static Stream<Arguments> offers() {
+        ExchangeEvent woke = new ExchangeEvent.Woke();
+        return Stream.of(
                 // Busy targets are asked to queue it, the shortest queue first.
                 Arguments.of(
                         false,
@@ -197,7 +201,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource("sessions")
+    @MethodSource({"failures", "offers"})
     void requestEndsAsItsKindAllows(
             boolean repeatable,
             int attempts,
