--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -125,12 +124,11 @@
     }
 
     private void connect(ClientCall call, String address) {
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress remote =
-                new InetSocketAddress(
-                        address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)));
-        ChannelFuture connecting = bootstrap.clone().handler(new Initializer(call)).connect(remote);
+        ChannelFuture connecting =
+                bootstrap
+                        .clone()
+                        .handler(new Initializer(call))
+                        .connect(SocketAddresses.parse(address));
         call.attach(connecting.channel());
         connecting.addListener(
                 done -> {
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -57,13 +57,12 @@
 
     private static Channel listen(
             EventLoop loop, String address, Supplier<ChannelHandler> handler) {
-        int colon = address.lastIndexOf(':');
         return SocketOptions.server(
                         new ServerBootstrap()
                                 .group(loop)
                                 .channel(NioServerSocketChannel.class)
                                 .childHandler(new Initializer(handler)))
-                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .bind(SocketAddresses.parse(address))
                 .syncUninterruptibly()
                 .channel();
     }
