--- a/src/main/java/org/azureshed/cli/CheckCommand.java
+++ b/src/main/java/org/azureshed/cli/CheckCommand.java
@@ -50,7 +50,7 @@
 
     private Integer checkSettings() {
         try {
-            SidecarSettings settings = SettingsDecoder.read(Path.of(settingsFile));
+            SidecarSettings settings = SettingsDecoder.read(Path.of(settingsFile), System.getenv());
             System.out.printf(
                     "%s: settings of node \"%s\" are valid: service %s, callers at %s%n",
                     settingsFile, settings.node(), settings.service(), settings.callerListen());
--- a/src/main/java/org/azureshed/platform/SettingsDecoder.java
+++ b/src/main/java/org/azureshed/platform/SettingsDecoder.java
@@ -13,6 +13,9 @@
 public final class SettingsDecoder {
     private static final String PATH_VARIABLE = "AZURESHED_CONFIG";
 
+    /** IP address under which other nodes reach this one, if it differs from the own address. */
+    private static final String ADVERTISED_IP_VARIABLE = "AZURESHED_ADVERTISED_IP";
+
     private SettingsDecoder() {}
 
     /**
@@ -35,11 +38,13 @@
      * Reads the settings.
      *
      * @param path the settings file
+     * @param environment environment variables
      * @return the settings
      * @throws IOException if the file cannot be read
      * @throws IllegalArgumentException if a field is missing or malformed; the message names it
      */
-    public static SidecarSettings read(Path path) throws IOException {
+    public static SidecarSettings read(Path path, Map<String, String> environment)
+            throws IOException {
         JsonNode json = new ObjectMapper().readTree(Files.readAllBytes(path));
         Map<String, String> bounds = bounds(json.path("bounds"));
         String ip = text(json, "/ip");
@@ -47,6 +52,7 @@
                 text(json, "/node"),
                 text(json, "/zone"),
                 text(json, "/service"),
+                environment.getOrDefault(ADVERTISED_IP_VARIABLE, ip),
                 text(json, "/appAddress"),
                 text(json, "/listen/outbound"),
                 text(json, "/listen/inbound"),
--- a/src/main/java/org/azureshed/platform/SidecarMain.java
+++ b/src/main/java/org/azureshed/platform/SidecarMain.java
@@ -21,20 +21,25 @@
 
     private static final int USAGE = 2;
 
+    /** The settings file may change without a signal. */
+    private static final long SETTINGS_CHECK_MILLIS = 2_000;
+
     private SidecarMain() {}
 
     /**
-     * Runs a node until SIGTERM. SIGHUP makes it read its settings again.
+     * Runs a node until SIGTERM. It reads its settings again on SIGHUP and when the file changes.
      *
      * @param args unused
      */
     public static void main(String[] args) {
         try {
             Path path = SettingsDecoder.path(System.getenv());
-            SidecarSettings settings = SettingsDecoder.read(path);
+            SettingsFile file = new SettingsFile(path, System.getenv());
+            SidecarSettings settings = file.read();
             DecisionLog log = new DecisionLog(System.out, settings.node());
             SidecarNode node = new SidecarNode(settings, protocol(settings, log), log);
-            Signal.handle(new Signal("HUP"), signal -> reload(node, path, log));
+            Signal.handle(new Signal("HUP"), signal -> reload(node, file, log));
+            node.every(SETTINGS_CHECK_MILLIS, () -> reloadIfChanged(node, file, log));
             Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
             node.start();
         } catch (IOException | IllegalArgumentException e) {
@@ -51,9 +56,19 @@
                 intake -> new HeartbeatCalls(intake, log));
     }
 
-    private static void reload(SidecarNode node, Path path, DecisionLog log) {
+    private static void reloadIfChanged(SidecarNode node, SettingsFile file, DecisionLog log) {
+        try {
+            if (file.changed()) {
+                node.reload(file.read());
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            log.write("reload_failed", "cause", e.getMessage());
+        }
+    }
+
+    private static void reload(SidecarNode node, SettingsFile file, DecisionLog log) {
         try {
-            node.reload(SettingsDecoder.read(path));
+            node.reload(file.read());
         } catch (IOException | IllegalArgumentException e) {
             log.write("reload_failed", "cause", e.getMessage());
         }
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -88,7 +88,7 @@
                 new NodeEntry(
                         settings.node(),
                         settings.availabilityZone(),
-                        settings.hostListen(),
+                        settings.advertisedHostAddress(),
                         incarnation,
                         0,
                         Optional.empty());
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -184,6 +184,16 @@
                 settings.firstStart());
     }
 
+    /**
+     * Runs a task again and again on the node's event loop.
+     *
+     * @param millis pause between two runs
+     * @param task the task; it must not block for long
+     */
+    public void every(long millis, Runnable task) {
+        loop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Applies changed settings. Only the service beside the node can change while it runs.
      *
--- a/src/main/java/org/azureshed/sidecar/SidecarSettings.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarSettings.java
@@ -6,6 +6,7 @@
  * @param node name of the node
  * @param availabilityZone its availability zone
  * @param service service of the target beside it
+ * @param advertisedIp IP address under which other nodes reach this one
  * @param targetAddress IP address and port of the target
  * @param callerListen IP address and port for callers
  * @param hostListen IP address and port for offers of other nodes
@@ -24,6 +25,7 @@
         String node,
         String availabilityZone,
         String service,
+        String advertisedIp,
         String targetAddress,
         String callerListen,
         String hostListen,
@@ -36,4 +38,13 @@
         double retryRatio,
         double retrySlack,
         double retryWindowSeconds,
-        boolean firstStart) {}
+        boolean firstStart) {
+    /**
+     * Where other nodes send their offers.
+     *
+     * @return IP address and port
+     */
+    String advertisedHostAddress() {
+        return advertisedIp + hostListen.substring(hostListen.lastIndexOf(':'));
+    }
+}
--- a/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
+++ b/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import org.azureshed.sidecar.SidecarSettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -14,7 +15,7 @@
 
 /** Guards against a node that starts with settings it has misread. */
 class SettingsDecoderTest {
-    private static final String VALID =
+    static final String VALID =
             """
             {"node":"n1","zone":"a","service":"s","appAddress":"10.0.0.1:8301","ip":"10.0.0.1",
              "listen":{"inbound":"10.0.0.1:8300","outbound":"10.0.0.1:8304",
@@ -27,7 +28,12 @@
     @TempDir private Path directory;
 
     private SidecarSettings read(String text) throws Exception {
-        return SettingsDecoder.read(Files.writeString(directory.resolve("settings.json"), text));
+        return read(text, Map.of());
+    }
+
+    private SidecarSettings read(String text, Map<String, String> environment) throws Exception {
+        Path file = Files.writeString(directory.resolve("settings.json"), text);
+        return SettingsDecoder.read(file, environment);
     }
 
     @Test
@@ -38,9 +44,18 @@
         assertEquals("10.0.0.1:7620", settings.peerListen());
         assertEquals(6_000, settings.graceMillis());
         assertEquals(0.2, settings.retryRatio());
+        assertEquals("10.0.0.1", settings.advertisedIp());
         assertTrue(settings.firstStart());
     }
 
+    /** Guards against a node behind an address translation that others cannot reach. */
+    @Test
+    void advertisedAddressComesFromTheEnvironment() throws Exception {
+        SidecarSettings settings = read(VALID, Map.of("AZURESHED_ADVERTISED_IP", "10.7.0.1"));
+        assertEquals("10.7.0.1", settings.advertisedIp());
+        assertEquals("10.0.0.1:8300", settings.hostListen());
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -94,6 +94,7 @@
                         "node-" + index,
                         "az-" + index % 2,
                         service,
+                        ip(index),
                         address(index, TARGET_PORT),
                         address(index, ENTRY_PORT),
                         address(index, HOST_PORT),
