Use the whole retry budget, put later calls of a run first, learn conditions from offers

Each failed call ends its run with 500. Flips of targets between serving and suspect were broadcast to all nodes and made every exchange of digests send all entries.

Change: repeats are counted by a sliding window; a call that follows an answer of the same run is queued before first calls; conditions that last for seconds are learnt from refusals and answers instead of being published; one success clears a target of a single failure; after 5 refusals for the budget no more targets are asked. Lines of offers that were refused at once are dropped first.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -28,6 +28,11 @@
     /** Targets asked to queue the request before it is refused. */
     static final int MAX_QUEUE_OFFERS = 3;
 
+    /**
+     * Targets that may refuse a repeat for the retry budget; more rarely find one with some left.
+     */
+    static final int MAX_BUDGET_REFUSALS = 5;
+
     /** Paths that may fail before the request is refused. */
     static final int MAX_PATH_FAILURES = 6;
 
@@ -58,6 +63,7 @@
     private int immediateOffers;
     private int queueOffers;
     private int pathFailures;
+    private int budgetRefusals;
     private int sent;
     private boolean lostBefore;
     private boolean hedged;
@@ -176,6 +182,9 @@
             queueWaitMillis.remove(name);
             suspects.remove(name);
         }
+        if (refusal.reason() == RefusalReason.RETRY_BUDGET) {
+            budgetRefusals++;
+        }
         offerNext(nowNanos);
     }
 
@@ -295,6 +304,10 @@
     }
 
     private void offerNext(long nowNanos) {
+        if (budgetRefusals >= MAX_BUDGET_REFUSALS) {
+            finishIfIdle(nowNanos, BAD_GATEWAY, "retry budget used up");
+            return;
+        }
         if (immediateOffers < MAX_IMMEDIATE_OFFERS && pathFailures < MAX_PATH_FAILURES) {
             for (NodeEntry node : candidates) {
                 if (!refusedNow.contains(node.name()) && !reached.contains(node.name())) {
--- a/src/main/java/org/azureshed/dispatch/TargetOrder.java
+++ b/src/main/java/org/azureshed/dispatch/TargetOrder.java
@@ -21,6 +21,7 @@
 
     private final String availabilityZone;
     private final PathBackoff paths;
+    private final TargetHints hints;
     private final SplittableRandom random;
 
     /**
@@ -28,11 +29,17 @@
      *
      * @param availabilityZone the node's availability zone
      * @param paths paths that failed lately
+     * @param hints what was learnt about targets lately
      * @param random source of the order among equals
      */
-    public TargetOrder(String availabilityZone, PathBackoff paths, SplittableRandom random) {
+    public TargetOrder(
+            String availabilityZone,
+            PathBackoff paths,
+            TargetHints hints,
+            SplittableRandom random) {
         this.availabilityZone = availabilityZone;
         this.paths = paths;
+        this.hints = hints;
         this.random = random;
     }
 
@@ -57,7 +64,9 @@
     }
 
     private int rank(NodeEntry node, boolean trial, long nowNanos) {
-        Condition condition = node.target().map(TargetEntry::condition).orElse(Condition.GONE);
+        Condition announced = node.target().map(TargetEntry::condition).orElse(Condition.GONE);
+        Condition learnt = hints.condition(node.name(), nowNanos);
+        Condition condition = announced.compareTo(learnt) < 0 ? learnt : announced;
         int conditionRank = trial && condition == Condition.SUSPECT ? -1 : condition.ordinal();
         int pathRank = paths.avoided(node.name(), nowNanos) ? Condition.values().length : 0;
         int zoneRank = node.availabilityZone().equals(availabilityZone) ? 0 : 1;
--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -12,6 +12,7 @@
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.dispatch.HostRefusal;
 import org.azureshed.dispatch.OfferMode;
+import org.azureshed.dispatch.RequestOrigin;
 import org.azureshed.model.RefusalReason;
 
 /**
@@ -21,17 +22,25 @@
  * <p>A request waits only if its answer is expected while it is still worth most; otherwise it is
  * refused at once. A longer queue would serve no more requests, and each of them late. Waiting
  * requests are served by priority, then by the time they have left; those that became late come
- * last.
+ * last. A later call of a run comes first: without it the run's earlier calls were in vain.
  */
 public final class HostGate {
     /** Waiting requests per slot; a longer queue would only hold requests that time out. */
     private static final int MAX_QUEUE_PER_SLOT = 6;
 
+    /**
+     * Requests that a target runs at once until it has answered one. A target that resets
+     * connections shows it only after some time, and each request under way is lost with it.
+     */
+    private static final int UNPROVEN_SLOTS = 2;
+
     /** Assumed run time before the first run. */
     private static final double DEFAULT_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private static final Comparator<Offered> URGENCY =
-            Comparator.comparingInt(Offered::priority)
+            Comparator.<Offered, Boolean>comparing(
+                            offered -> offered.origin() != RequestOrigin.FOLLOW_UP)
+                    .thenComparingInt(Offered::priority)
                     .thenComparingLong(Offered::usefulNanos)
                     .thenComparingLong(Offered::id);
 
@@ -117,12 +126,13 @@
             return refused(closed.get(), 0, false);
         }
         if (health.condition(nowNanos) == Condition.SUSPECT && offered.mode() != OfferMode.FORCE) {
-            boolean trial = offered.repeatable() && hasFreeSlot() && health.startTrial(nowNanos);
+            boolean trial =
+                    offered.repeatable() && hasFreeSlot(nowNanos) && health.startTrial(nowNanos);
             if (!trial) {
                 return refused(RefusalReason.TARGET_SUSPECT, 0, true);
             }
         }
-        boolean free = hasFreeSlot() && queue.isEmpty();
+        boolean free = hasFreeSlot(nowNanos) && queue.isEmpty();
         if (free && !countTowardsBudget(offered, nowNanos)) {
             return refused(RefusalReason.RETRY_BUDGET, 0, false);
         }
@@ -188,18 +198,22 @@
     }
 
     /**
-     * What other nodes should know about the target.
+     * The target as it was announced, for other nodes.
+     *
+     * @return the target, or empty if there is none
+     */
+    public Optional<TargetEntry> target() {
+        return target;
+    }
+
+    /**
+     * The target's condition, judged by the requests that it ran.
      *
      * @param nowNanos current time
-     * @return the target with its condition as announced and as judged, whichever is worse
+     * @return serving, slow or suspect
      */
-    public Optional<TargetEntry> published(long nowNanos) {
-        Condition judged = health.condition(nowNanos);
-        return target.map(
-                entry ->
-                        entry.condition().compareTo(judged) < 0
-                                ? entry.withCondition(judged)
-                                : entry);
+    public Condition condition(long nowNanos) {
+        return health.condition(nowNanos);
     }
 
     /**
@@ -235,9 +249,9 @@
             return retries.tryRetry(nowNanos);
         }
         if (offered.derived()) {
-            retries.derivedRequestStarted();
+            retries.derivedRequestStarted(nowNanos);
         } else {
-            retries.requestStarted();
+            retries.requestStarted(nowNanos);
         }
         return true;
     }
@@ -256,7 +270,7 @@
 
     private List<Settled> fill(long nowNanos) {
         List<Settled> admitted = new ArrayList<>();
-        while (hasFreeSlot() && !queue.isEmpty()) {
+        while (hasFreeSlot(nowNanos) && !queue.isEmpty()) {
             Offered next = mostUrgent(nowNanos);
             queue.remove(next);
             running.put(next.id(), next);
@@ -284,8 +298,9 @@
         return new Admittance.Refused(new HostRefusal(reason, waitMillis, suspect));
     }
 
-    private boolean hasFreeSlot() {
-        return running.size() < slots();
+    private boolean hasFreeSlot(long nowNanos) {
+        int usable = health.proven(nowNanos) ? slots() : Math.min(UNPROVEN_SLOTS, slots());
+        return running.size() < usable;
     }
 
     private int slots() {
--- a/src/main/java/org/azureshed/host/Offered.java
+++ b/src/main/java/org/azureshed/host/Offered.java
@@ -1,6 +1,7 @@
 package org.azureshed.host;
 
 import org.azureshed.dispatch.OfferMode;
+import org.azureshed.dispatch.RequestOrigin;
 
 /**
  * A request that a node offers to the target beside this one.
@@ -8,6 +9,7 @@
  * @param id names the offer; unique at this node
  * @param targetId the target that the offering node means
  * @param mode what may be done with it
+ * @param origin what it follows
  * @param priority rank; 0 is served first
  * @param repeatable whether it may run more than once
  * @param repeat whether a target has received it before
@@ -19,6 +21,7 @@
         long id,
         String targetId,
         OfferMode mode,
+        RequestOrigin origin,
         int priority,
         boolean repeatable,
         boolean repeat,
--- a/src/main/java/org/azureshed/host/TargetHealth.java
+++ b/src/main/java/org/azureshed/host/TargetHealth.java
@@ -25,7 +25,7 @@
     /** A suspect target without trials is taken as recovered after this time. */
     private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** Consecutive successes that end the suspicion. */
+    /** Consecutive successes that end the suspicion; one is enough after a single failure. */
     private static final int RECOVERY_SUCCESSES = 2;
 
     /** Run time, relative to the usual one, above which a target counts as slow. */
@@ -39,12 +39,18 @@
     /** Bounds what one long run adds to the usual time. */
     private static final double MAX_SAMPLE_FACTOR = 2;
 
+    /** A target without a success for this time has to show first that it serves. */
+    private static final long PROVEN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final Deque<Result> results = new ArrayDeque<>();
     private boolean suspect;
     private boolean slow;
     private int successes;
+    private int failures;
     private long lastTrialNanos;
     private long lastFailureNanos;
+    private long lastSuccessNanos;
+    private boolean succeeded;
     private int runs;
     private double recentNanos;
     private double usualNanos;
@@ -69,13 +75,20 @@
         }
         if (failed) {
             successes = 0;
+            failures++;
             lastFailureNanos = nowNanos;
         } else {
             successes++;
+            lastSuccessNanos = nowNanos;
+            succeeded = true;
+            if (!suspect) {
+                failures = 0;
+            }
             timed(runNanos);
         }
-        if (suspect && successes >= RECOVERY_SUCCESSES) {
+        if (suspect && successes >= Math.min(failures, RECOVERY_SUCCESSES)) {
             suspect = false;
+            failures = 0;
             results.clear();
         } else if (!suspect && failed && isEvidence(result, nowNanos)) {
             suspect = true;
@@ -106,6 +119,7 @@
     public Condition condition(long nowNanos) {
         if (suspect && nowNanos - lastFailureNanos > SUSPECT_NANOS) {
             suspect = false;
+            failures = 0;
             results.clear();
         }
         if (suspect) {
@@ -114,6 +128,16 @@
         return slow ? Condition.SLOW : Condition.SERVING;
     }
 
+    /**
+     * Whether the target answered a request lately.
+     *
+     * @param nowNanos current time
+     * @return false if it may fail whatever it is sent
+     */
+    public boolean proven(long nowNanos) {
+        return succeeded && nowNanos - lastSuccessNanos < PROVEN_NANOS;
+    }
+
     /**
      * Mean time of recent runs.
      *
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -10,8 +10,11 @@
     private static final String KIND = "config";
     private static final String NAME = "main";
 
-    /** Each waiting call is paid for; a silent connection is noticed by keep-alive probes. */
-    private static final long WAIT_MILLIS = 15_000;
+    /**
+     * The longest wait that the store allows, since each call is paid for. A silent connection is
+     * noticed by keep-alive probes.
+     */
+    private static final long WAIT_MILLIS = 30_000;
 
     private final FleetStore store;
     private final EventLoop loop;
--- a/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.Condition;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.TrafficEvents;
 
@@ -26,6 +27,7 @@
     private final Counter hostOutcomes;
     private final Counter attempts;
     private final Counter storeCalls;
+    private final Counter conditions;
     private final Histogram entrySeconds;
     private final Histogram hostSeconds;
     private final Gauge droppedLines;
@@ -47,6 +49,11 @@
                         "azureshed_attempt_anomalies",
                         "Answers and offers that were passed over, by cause",
                         "cause");
+        this.conditions =
+                counter(
+                        "azureshed_target_judgements",
+                        "Changes of the judgement of the local target by new condition",
+                        "condition");
         this.storeCalls =
                 counter("azureshed_store_calls", "Calls of the store by result", "result");
         this.entrySeconds =
@@ -92,6 +99,25 @@
         log.write("offer", line(outcome, nanos, pairs));
     }
 
+    @Override
+    public void offerRefused(String outcome, long nanos, Object... pairs) {
+        hostOutcomes.labelValues(outcome).inc();
+        hostSeconds.labelValues(outcome).observe(nanos / NANOS_PER_SECOND);
+        log.writeMinor("offer", line(outcome, nanos, pairs));
+    }
+
+    @Override
+    public void targetJudged(String target, Condition condition, Object... pairs) {
+        conditions.labelValues(condition.name()).inc();
+        Object[] line = new Object[pairs.length + 4];
+        line[0] = "target";
+        line[1] = target;
+        line[2] = "condition";
+        line[3] = condition;
+        System.arraycopy(pairs, 0, line, 4, pairs.length);
+        log.write("target_judged", line);
+    }
+
     @Override
     public void attemptEnded(String cause, Object... pairs) {
         attempts.labelValues(cause).inc();
--- a/src/main/java/org/azureshed/telemetry/DecisionLog.java
+++ b/src/main/java/org/azureshed/telemetry/DecisionLog.java
@@ -24,6 +24,9 @@
     /** Lines a second; more would cost more processor time than the requests they describe. */
     private static final long MAX_LINES_PER_SECOND = 200;
 
+    /** Minor lines are written while there are fewer lines than this in a second. */
+    private static final long MAX_MINOR_LINES_PER_SECOND = MAX_LINES_PER_SECOND / 5;
+
     /** Lines of this time are written together, to save wake-ups. */
     private static final long BATCH_MILLIS = 250;
 
@@ -70,6 +73,22 @@
         }
     }
 
+    /**
+     * Queues a line that tells little on its own. Such lines are dropped first, so that many of
+     * them leave room for others.
+     *
+     * @param event name of the event in lower case with underscores
+     * @param pairs alternating keys and values
+     */
+    public synchronized void writeMinor(String event, Object... pairs) {
+        if (linesThisSecond >= MAX_MINOR_LINES_PER_SECOND
+                && System.nanoTime() - secondStartNanos <= NANOS_PER_SECOND) {
+            dropped.incrementAndGet();
+        } else {
+            write(event, pairs);
+        }
+    }
+
     /**
      * Lines dropped since the start.
      *
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -120,6 +120,7 @@
                         new OfferHeader(
                                         node.target().orElseThrow().id(),
                                         offer.mode(),
+                                        exchange.origin(),
                                         exchange.route().priority(),
                                         exchange.route().repeatable(),
                                         exchange.sentBefore(),
@@ -208,7 +209,9 @@
             }
             case OutcomeHeaders.NOT_RUN -> {
                 exchange.note(node.name(), reason);
-                exchange.handle(new ExchangeEvent.Refused(number, refusal(reason)));
+                HostRefusal refusal = refusal(reason);
+                exchange.service().hints().refused(node.name(), refusal, System.nanoTime());
+                exchange.handle(new ExchangeEvent.Refused(number, refusal));
             }
             case OutcomeHeaders.SHED -> {
                 exchange.note(node.name(), "shed");
@@ -223,6 +226,8 @@
 
     private void answered() {
         int status = response.status().code();
+        boolean slow = response.headers().contains(OutcomeHeaders.SLOW);
+        exchange.service().hints().answered(node.name(), slow, System.nanoTime());
         exchange.note(node.name(), Integer.toString(status));
         exchange.handle(new ExchangeEvent.Answered(number, status));
     }
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -25,6 +26,7 @@
 import org.azureshed.dispatch.ExchangeEffect;
 import org.azureshed.dispatch.ExchangeEvent;
 import org.azureshed.dispatch.ForwardRoute;
+import org.azureshed.dispatch.RequestOrigin;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.model.RefusalReason;
 import org.azureshed.poison.RequestFingerprint;
@@ -57,6 +59,7 @@
     private long limitNanos;
     private ScheduledFuture<?> wake;
     private EntryAttempt delivering;
+    private RequestOrigin origin = RequestOrigin.FIRST;
     private boolean derived;
     private boolean done;
 
@@ -97,12 +100,19 @@
         return derived;
     }
 
+    RequestOrigin origin() {
+        return origin;
+    }
+
     boolean sentBefore() {
         return exchange.sent() > 0;
     }
 
     /** Time left in which the answer is worth most, in milliseconds; negative if it is late. */
     long usefulMillisLeft() {
+        if (origin == RequestOrigin.FOLLOW_UP) {
+            return millisLeft();
+        }
         long useful = Math.max(route.targetLatencyMillis(), MIN_PATIENCE_MILLIS);
         return useful - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
@@ -126,6 +136,7 @@
             return;
         }
         route = found.get();
+        origin = handler.chain().origin(route.name(), startNanos);
         if (!service.suspects().isEmpty()) {
             RequestFingerprint fingerprint = Fingerprints.of(service.localService(), request, body);
             if (service.suspects().refused(fingerprint)) {
@@ -216,6 +227,9 @@
 
     private void deliver(EntryAttempt attempt) {
         delivering = attempt;
+        if (attempt.response().status().codeClass() == HttpStatusClass.SUCCESS) {
+            handler.chain().answered(route.name(), System.nanoTime());
+        }
         HttpResponse source = attempt.response();
         boolean keep = keepConnection();
         if (attempt.complete()) {
@@ -350,6 +364,8 @@
                         route == null ? "" : route.name(),
                         "service",
                         targetService,
+                        "origin",
+                        origin,
                         "priority",
                         route == null ? -1 : route.priority(),
                         "status",
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -12,6 +12,7 @@
 import org.azureshed.dispatch.PathBackoff;
 import org.azureshed.dispatch.ServiceSplit;
 import org.azureshed.dispatch.SuspectRequests;
+import org.azureshed.dispatch.TargetHints;
 import org.azureshed.dispatch.TargetOrder;
 import org.azureshed.dispatch.TrafficConfiguration;
 
@@ -22,6 +23,7 @@
     private final ConnectionPool nodeConnections;
     private final SuspectRequests suspects;
     private final PathBackoff paths = new PathBackoff();
+    private final TargetHints hints = new TargetHints();
     private final TargetOrder order;
     private final ServiceSplit split;
     private final SplittableRandom random;
@@ -63,7 +65,7 @@
         this.directory = directory;
         this.suspects = suspects;
         this.nodeConnections = nodeConnections;
-        this.order = new TargetOrder(availabilityZone, paths, random.split());
+        this.order = new TargetOrder(availabilityZone, paths, hints, random.split());
         this.split = new ServiceSplit(random.nextDouble());
         this.random = random;
         this.names = names;
@@ -115,6 +117,10 @@
         return paths;
     }
 
+    TargetHints hints() {
+        return hints;
+    }
+
     HeaderNames names() {
         return names;
     }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.Condition;
 import org.azureshed.dispatch.HostRefusal;
 import org.azureshed.host.Admittance;
 import org.azureshed.host.Offered;
@@ -55,6 +56,7 @@
     private ClientCall call;
     private ScheduledFuture<?> timer;
     private boolean bodyComplete;
+    private boolean accepted;
     private boolean admitted;
     private boolean answering;
     private boolean done;
@@ -76,6 +78,7 @@
                         service.newId(),
                         offer.targetId(),
                         offer.mode(),
+                        offer.origin(),
                         offer.priority(),
                         offer.repeatable(),
                         offer.repeat(),
@@ -99,11 +102,15 @@
         }
         switch (admittance) {
             case Admittance.Admitted ignored -> {
+                accepted = true;
                 admitted = true;
                 interim(HttpResponseStatus.CONTINUE);
                 schedule(RESERVATION_MILLIS, this::reservationExpired);
             }
-            case Admittance.Queued ignored -> interim(HttpResponseStatus.PROCESSING);
+            case Admittance.Queued ignored -> {
+                accepted = true;
+                interim(HttpResponseStatus.PROCESSING);
+            }
             case Admittance.Refused refused -> refuse(refused.refusal());
         }
     }
@@ -221,6 +228,9 @@
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
         ForwardedHeaders.copy(response.headers(), forwarded.headers());
         forwarded.headers().set(OutcomeHeaders.OUTCOME, OutcomeHeaders.COMPLETED);
+        if (service.gate().condition(System.nanoTime()) == Condition.SLOW) {
+            forwarded.headers().set(OutcomeHeaders.SLOW, "1");
+        }
         String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length != null) {
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
@@ -364,24 +374,29 @@
         body.release();
         long now = System.nanoTime();
         long runNanos = runStartNanos == 0 ? 0 : now - runStartNanos;
-        service.events()
-                .hostFinished(
-                        outcome,
-                        now - startNanos,
-                        "id",
-                        request.headers().get(service.names().requestId()),
-                        "target",
-                        offer.targetId(),
-                        "mode",
-                        offer.mode(),
-                        "status",
-                        status,
-                        "run_ms",
-                        TimeUnit.NANOSECONDS.toMillis(runNanos),
-                        "running",
-                        service.gate().runningCount(),
-                        "waiting",
-                        service.gate().waitingCount());
+        Object[] inputs = {
+            "id",
+            request.headers().get(service.names().requestId()),
+            "target",
+            offer.targetId(),
+            "mode",
+            offer.mode(),
+            "origin",
+            offer.origin(),
+            "status",
+            status,
+            "run_ms",
+            TimeUnit.NANOSECONDS.toMillis(runNanos),
+            "running",
+            service.gate().runningCount(),
+            "waiting",
+            service.gate().waitingCount()
+        };
+        if (accepted) {
+            service.events().hostFinished(outcome, now - startNanos, inputs);
+        } else {
+            service.events().offerRefused(outcome, now - startNanos, inputs);
+        }
         service.finished(this, result, runNanos);
     }
 }
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.azureshed.directory.Condition;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.host.CrashEvidence;
@@ -35,6 +36,7 @@
     private Consumer<RequestFingerprint> onCrash = request -> {};
     private Consumer<Optional<TargetEntry>> onChange = entry -> {};
     private Optional<TargetEntry> published = Optional.empty();
+    private Condition judged = Condition.SERVING;
     private long nextId;
     private boolean expiryScheduled;
 
@@ -113,12 +115,26 @@
         return exchanges.size();
     }
 
-    /** Publishes a judgement that changed with time. */
+    /** Publishes a changed target, and reports a judgement that changed. */
     public void publish() {
-        Optional<TargetEntry> current = gate.published(System.nanoTime());
-        if (!current.equals(published)) {
-            published = current;
-            onChange.accept(current);
+        Condition condition = gate.condition(System.nanoTime());
+        if (condition != judged) {
+            events.targetJudged(
+                    gate.target().map(TargetEntry::id).orElse(""),
+                    condition,
+                    "before",
+                    judged,
+                    "run_ms",
+                    TimeUnit.NANOSECONDS.toMillis((long) gate.runNanos()),
+                    "running",
+                    gate.runningCount(),
+                    "waiting",
+                    gate.waitingCount());
+            judged = condition;
+        }
+        if (!gate.target().equals(published)) {
+            published = gate.target();
+            onChange.accept(published);
         }
     }
 
--- a/src/main/java/org/azureshed/traffic/OfferHeader.java
+++ b/src/main/java/org/azureshed/traffic/OfferHeader.java
@@ -3,12 +3,14 @@
 import com.google.common.base.Splitter;
 import java.util.Map;
 import org.azureshed.dispatch.OfferMode;
+import org.azureshed.dispatch.RequestOrigin;
 
 /**
  * The header by which a node offers a request to another node's target.
  *
  * @param targetId identifier of the target
  * @param mode what the host side may do with the request
+ * @param origin what the request follows
  * @param priority rank; 0 is served first
  * @param repeatable whether the request may run more than once
  * @param repeat whether a target has received the request before
@@ -20,6 +22,7 @@
 record OfferHeader(
         String targetId,
         OfferMode mode,
+        RequestOrigin origin,
         int priority,
         boolean repeatable,
         boolean repeat,
@@ -29,25 +32,28 @@
         boolean hasBody) {
     static final String NAME = "Azureshed-Offer";
 
+    /** Keys are short, since each offer of each request carries the header. */
     String encode() {
-        return "target="
+        return "t="
                 + targetId
-                + ";mode="
+                + ";m="
                 + mode
-                + ";priority="
+                + ";o="
+                + origin
+                + ";p="
                 + priority
-                + ";repeatable="
-                + repeatable
-                + ";repeat="
-                + repeat
-                + ";derived="
-                + derived
-                + ";useful="
+                + ";r="
+                + bit(repeatable)
+                + ";a="
+                + bit(repeat)
+                + ";d="
+                + bit(derived)
+                + ";u="
                 + usefulMillis
-                + ";left="
+                + ";l="
                 + leftMillis
-                + ";body="
-                + hasBody;
+                + ";b="
+                + bit(hasBody);
     }
 
     /**
@@ -58,15 +64,20 @@
     static OfferHeader decode(String text) {
         Map<String, String> parts = Splitter.on(';').withKeyValueSeparator('=').split(text);
         return new OfferHeader(
-                part(parts, "target"),
-                OfferMode.valueOf(part(parts, "mode")),
-                Integer.parseInt(part(parts, "priority")),
-                Boolean.parseBoolean(part(parts, "repeatable")),
-                Boolean.parseBoolean(part(parts, "repeat")),
-                Boolean.parseBoolean(part(parts, "derived")),
-                Long.parseLong(part(parts, "useful")),
-                Long.parseLong(part(parts, "left")),
-                Boolean.parseBoolean(part(parts, "body")));
+                part(parts, "t"),
+                OfferMode.valueOf(part(parts, "m")),
+                RequestOrigin.valueOf(part(parts, "o")),
+                Integer.parseInt(part(parts, "p")),
+                part(parts, "r").equals("1"),
+                part(parts, "a").equals("1"),
+                part(parts, "d").equals("1"),
+                Long.parseLong(part(parts, "u")),
+                Long.parseLong(part(parts, "l")),
+                part(parts, "b").equals("1"));
+    }
+
+    private static char bit(boolean value) {
+        return value ? '1' : '0';
     }
 
     private static String part(Map<String, String> parts, String name) {
--- a/src/main/java/org/azureshed/traffic/OutcomeHeaders.java
+++ b/src/main/java/org/azureshed/traffic/OutcomeHeaders.java
@@ -26,5 +26,8 @@
     /** Present if the target was passed over because it fails many requests. */
     static final String SUSPECT = "Azureshed-Suspect";
 
+    /** Present on an answer if the target takes a multiple of its usual time. */
+    static final String SLOW = "Azureshed-Slow";
+
     private OutcomeHeaders() {}
 }
--- a/src/main/java/org/azureshed/traffic/TrafficEvents.java
+++ b/src/main/java/org/azureshed/traffic/TrafficEvents.java
@@ -1,5 +1,7 @@
 package org.azureshed.traffic;
 
+import org.azureshed.directory.Condition;
+
 /**
  * Hears what the traffic path decided, for logs and metrics. Calls must not block.
  *
@@ -24,6 +26,25 @@
      */
     void hostFinished(String outcome, long nanos, Object... pairs);
 
+    /**
+     * The host side refused an offered request at once. There may be many such offers of one
+     * request, which the entry side lists, so that not each needs a line.
+     *
+     * @param outcome label of the refusal reason
+     * @param nanos time since the offer arrived
+     * @param pairs the inputs of the decision
+     */
+    void offerRefused(String outcome, long nanos, Object... pairs);
+
+    /**
+     * The host side changed its judgement of the local target.
+     *
+     * @param target identifier of the target
+     * @param condition the new judgement
+     * @param pairs the inputs of the decision
+     */
+    void targetJudged(String target, Condition condition, Object... pairs);
+
     /**
      * A request is sent again or offered elsewhere.
      *
--- /dev/null
+++ b/src/test/java/org/azureshed/dispatch/TargetHintsTest.java
@@ -0,0 +1,62 @@
+package org.azureshed.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.Condition;
+import org.azureshed.directory.NodeEntry;
+import org.azureshed.directory.TargetEntry;
+import org.azureshed.model.RefusalReason;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against offers to targets that have just refused, and against hints that stay. */
+class TargetHintsTest {
+    private static final long NOW = TimeUnit.SECONDS.toNanos(3);
+
+    private final TargetHints hints = new TargetHints();
+
+    @ParameterizedTest
+    @CsvSource({
+        "TARGET_SUSPECT, true, 900, SUSPECT",
+        "TARGET_SUSPECT, true, 1000, SERVING",
+        "TARGET_UNKNOWN, false, 400, SUSPECT",
+        "TARGET_UNKNOWN, false, 500, SERVING",
+        // A full queue says nothing about the target's health.
+        "QUEUE_FULL, false, 1, SERVING",
+        "RETRY_BUDGET, false, 1, SERVING"
+    })
+    void refusalIsRemembered(
+            RefusalReason reason, boolean suspect, long millis, Condition expected) {
+        hints.refused("n", new HostRefusal(reason, 0, suspect), NOW);
+        assertEquals(expected, hints.condition("n", NOW + TimeUnit.MILLISECONDS.toNanos(millis)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, SLOW", "false, SERVING"})
+    void answerReplacesAnOlderHint(boolean slow, Condition expected) {
+        hints.refused("n", new HostRefusal(RefusalReason.TARGET_SUSPECT, 0, true), NOW);
+        hints.answered("n", slow, NOW + 1);
+        assertEquals(expected, hints.condition("n", NOW + 2));
+    }
+
+    /** A suspect target of the own availability zone comes after a serving one elsewhere. */
+    @Test
+    void orderFollowsTheHints() {
+        TargetOrder order =
+                new TargetOrder("near", new PathBackoff(), hints, new SplittableRandom(1));
+        List<NodeEntry> nodes = List.of(node("a", "near"), node("b", "far"));
+        assertEquals("a", order.order(nodes, false, NOW).getFirst().name());
+        hints.refused("a", new HostRefusal(RefusalReason.TARGET_SUSPECT, 0, true), NOW);
+        assertEquals("b", order.order(nodes, false, NOW + 1).getFirst().name());
+    }
+
+    private static NodeEntry node(String name, String zone) {
+        TargetEntry target = new TargetEntry("i-" + name, 1, "shop", 4, Condition.SERVING);
+        return new NodeEntry(name, zone, name + ":1", 1, 0, Optional.of(target));
+    }
+}
