Cut no request that is read in the last moment of a stop; make the class archive reliably

The build failed once when two builds chose the same ports for the class archive.

Change: when a stopping node is idle it closes its listener and the idle connections first, and ends after those that were busy. The soak no longer takes a killed process for one that ended by itself, and binds a target's port again if it is not free yet.

Measured: SidecarFleetTest#stopCutsNoRequestOfAKeptConnection fails without the change and passes with it.

--- a/src/main/java/org/azureshed/platform/standin/ClassCacheWorkload.java
+++ b/src/main/java/org/azureshed/platform/standin/ClassCacheWorkload.java
@@ -8,7 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
  * Exercises one node while the build makes its class cache: writes a settings file, plays the store
@@ -17,7 +19,10 @@
 public final class ClassCacheWorkload {
     private static final String IP = "127.0.0.1";
     private static final int REQUESTS = 400;
-    private static final int START_ATTEMPTS = 200;
+    private static final int START_ATTEMPTS = 600;
+    private static final int LOWEST_PORT = 10_000;
+    private static final int PORTS = 20_000;
+    private static final int USED_PORTS = 7;
 
     private ClassCacheWorkload() {}
 
@@ -125,10 +130,21 @@
         return settings;
     }
 
-    /** Finds a port after which six more are likely to be free. */
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return Math.min(socket.getLocalPort(), 65_000);
+    /** Finds a port that is free with the next ones, below those that systems hand out. */
+    private static int freePort() {
+        while (true) {
+            int first = LOWEST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            if (IntStream.range(first, first + USED_PORTS).allMatch(ClassCacheWorkload::free)) {
+                return first;
+            }
+        }
+    }
+
+    private static boolean free(int port) {
+        try (ServerSocket socket = new ServerSocket(port)) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
         }
     }
 }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -68,6 +68,7 @@
     private final LocalTarget target;
     private final ConfigurationWatch watch;
     private volatile String localService;
+    private Channel callers;
     private volatile boolean stopping;
 
     /**
@@ -162,7 +163,7 @@
                 loop, settings.heartbeatListen(), protocol.heartbeats().apply(target));
         TrafficServers.control(loop, settings.peerListen(), this::peerCall);
         TrafficServers.host(loop, settings.hostListen(), host);
-        Channel listener = TrafficServers.entry(loop, settings.callerListen(), entry);
+        callers = TrafficServers.entry(loop, settings.callerListen(), entry);
         loop.execute(
                 () -> {
                     host.onCrash(fleet::requestCrashedTarget);
@@ -179,7 +180,7 @@
                 "service",
                 settings.service(),
                 "listen",
-                listener.localAddress(),
+                callers.localAddress(),
                 "first_start",
                 settings.firstStart());
     }
@@ -233,11 +234,19 @@
         log.close();
     }
 
+    /**
+     * Waits until no request is under way, then refuses new connections and closes idle ones, so
+     * that no request is read after the last look, and waits for those that came in between.
+     */
     private void awaitIdle(long startNanos, CountDownLatch ended) {
         long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         boolean idle = entry.activeCount() == 0 && host.activeCount() == 0;
         boolean late = elapsed > settings.graceMillis() - STOP_MARGIN_MILLIS;
-        if (late || idle && elapsed > MIN_STOP_MILLIS) {
+        if (idle && elapsed > MIN_STOP_MILLIS && callers.isOpen()) {
+            callers.close();
+            entry.closeIdle();
+        }
+        if (late || idle && !callers.isOpen() && entry.connectionCount() == 0) {
             ended.countDown();
         } else {
             loop.schedule(
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -58,6 +58,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        service.connected(this);
         awaitRequest();
     }
 
@@ -152,6 +153,14 @@
         }
     }
 
+    /** Closes the connection unless a request is being read or answered. */
+    void closeIfIdle() {
+        if (exchange == null && head == null && !closing) {
+            closing = true;
+            context.close();
+        }
+    }
+
     private void awaitRequest() {
         schedule(limits().idleTimeoutMillis(), () -> context.close());
     }
@@ -213,6 +222,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
+        service.disconnected(this);
         cancelTimer();
         releaseBody();
         waiting.forEach(ReferenceCountUtil::release);
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -1,8 +1,10 @@
 package org.azureshed.traffic;
 
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -32,6 +34,7 @@
     private final BooleanSupplier localRepeat;
     private final TrafficEvents events;
     private Optional<TrafficConfiguration> configuration = Optional.empty();
+    private final Set<EntryHandler> connections = new HashSet<>();
     private boolean stopping;
     private int active;
     private long bufferedBytes;
@@ -83,6 +86,11 @@
         configuration = Optional.of(next);
     }
 
+    /** Closes the connections that carry no request, so that none is read and then cut off. */
+    public void closeIdle() {
+        Set.copyOf(connections).forEach(EntryHandler::closeIfIdle);
+    }
+
     /** Announces to callers on their next answer that their connection ends. */
     public void stop() {
         stopping = true;
@@ -97,6 +105,15 @@
         return active;
     }
 
+    /**
+     * Open connections of callers.
+     *
+     * @return their number
+     */
+    public int connectionCount() {
+        return connections.size();
+    }
+
     boolean stopping() {
         return stopping;
     }
@@ -153,6 +170,14 @@
         return random.nextDouble();
     }
 
+    void connected(EntryHandler connection) {
+        connections.add(connection);
+    }
+
+    void disconnected(EntryHandler connection) {
+        connections.remove(connection);
+    }
+
     void requestStarted() {
         active++;
     }
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -297,6 +299,44 @@
         }
     }
 
+    /**
+     * Guards against a request that is read in the last moment of a stop and then cut off. Callers
+     * use their connections until the node closes them.
+     */
+    @Test
+    void stopCutsNoRequestOfAKeptConnection() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            List<String> cut = new CopyOnWriteArrayList<>();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                String name = "kept-" + i + '-';
+                callers.add(Thread.startVirtualThread(() -> callUntilRefused(fleet, name, cut)));
+            }
+            TimeUnit.MILLISECONDS.sleep(200);
+            fleet.nodes.getFirst().stop();
+            fleet.nodes.getFirst().close();
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            assertEquals(List.of(), cut, fleet::log);
+        }
+    }
+
+    private static void callUntilRefused(SidecarFleet fleet, String name, List<String> cut) {
+        for (int i = 0; i < 2_000; i++) {
+            String id = name + i;
+            try {
+                fleet.request(0, "POST", "/write/a", id);
+            } catch (ConnectException e) {
+                return;
+            } catch (Exception e) {
+                if (fleet.runs(id) > 0) {
+                    cut.add(id + ' ' + e);
+                }
+            }
+        }
+    }
+
     /**
      * Guards against a request that crashes one target after the other, at whichever node it comes.
      */
--- a/src/test/java/org/azureshed/process/SoakFleet.java
+++ b/src/test/java/org/azureshed/process/SoakFleet.java
@@ -11,6 +11,8 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.azureshed.platform.standin.Sessions;
@@ -59,9 +61,8 @@
         private final SoakTarget target;
         private final Map<SoakFault.Link, List<CuttableRelay>> relays =
                 new EnumMap<>(SoakFault.Link.class);
+        private final Set<Process> endExpected = ConcurrentHashMap.newKeySet();
         private Process process;
-        private int starts;
-        private boolean endExpected;
 
         Node(int index, SoakTarget target) {
             this.index = index;
@@ -205,15 +206,13 @@
         builder.environment().put("AZURESHED_ADVERTISED_IP", advertisedIp(node.index));
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(node).toFile()));
-        node.endExpected = false;
-        node.starts++;
         node.process = builder.start();
         Process started = node.process;
         started.onExit().thenRun(() -> ended(node, started));
     }
 
     private void ended(Node node, Process process) {
-        if (node.process == process && !node.endExpected) {
+        if (!node.endExpected.contains(process)) {
             journal.violated("process", "node-" + node.index + " ended by itself");
         }
     }
@@ -224,13 +223,13 @@
     }
 
     void kill(Node node) throws InterruptedException {
-        node.endExpected = true;
+        node.endExpected.add(node.process);
         node.process.destroyForcibly().waitFor();
     }
 
     /** SIGTERM; the platform kills a process that outlives its grace. */
     void terminate(Node node) throws InterruptedException {
-        node.endExpected = true;
+        node.endExpected.add(node.process);
         node.process.destroy();
         if (!node.process.waitFor(GRACE_SECONDS, TimeUnit.SECONDS)) {
             node.process.destroyForcibly().waitFor();
@@ -292,8 +291,8 @@
     @Override
     public void close() throws Exception {
         for (Node node : nodes) {
-            node.endExpected = true;
             if (node.process != null) {
+                node.endExpected.add(node.process);
                 signal(node, "CONT");
                 node.process.destroyForcibly();
             }
--- a/src/test/java/org/azureshed/process/SoakTarget.java
+++ b/src/test/java/org/azureshed/process/SoakTarget.java
@@ -1,6 +1,7 @@
 package org.azureshed.process;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.http.HttpClient;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,6 +21,7 @@
 
     private static final long ACKNOWLEDGEMENT_SECONDS = 4;
     private static final long REUSE_MILLIS = 500;
+    private static final int BIND_ATTEMPTS = 100;
 
     private final int node;
     private final String service;
@@ -36,7 +38,8 @@
     private volatile boolean closed;
     private volatile SoakFault.TargetFails trouble;
 
-    SoakTarget(int node, String service, String ip, SoakJournal journal) throws IOException {
+    SoakTarget(int node, String service, String ip, SoakJournal journal)
+            throws IOException, InterruptedException {
         this.node = node;
         this.service = service;
         this.ip = ip;
@@ -60,16 +63,31 @@
     }
 
     /** Starts another target at the same address. */
-    synchronized void replace() throws IOException {
+    synchronized void replace() throws IOException, InterruptedException {
         id = "t-" + node + '-' + replacements++;
         bornMillis = System.currentTimeMillis();
         sequence = 0;
         leftNanos = Long.MAX_VALUE;
         String name = id;
-        standIn = new TargetStandIn(ip, SoakFleet.TARGET_PORT, id, request -> run(name, request));
+        standIn = listen(name);
         announces = true;
     }
 
+    /** The port of a listener that was just closed may be taken for a moment. */
+    private TargetStandIn listen(String name) throws IOException, InterruptedException {
+        for (int attempt = 0; ; attempt++) {
+            try {
+                return new TargetStandIn(
+                        ip, SoakFleet.TARGET_PORT, name, request -> run(name, request));
+            } catch (BindException e) {
+                if (attempt == BIND_ATTEMPTS) {
+                    throw e;
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+    }
+
     /** Announces the departure, serves on for the drain time, and is replaced. */
     void leave(boolean announced) throws Exception {
         announces = false;
