Let a stopping node that is never idle stop listening in time

Cause: SidecarFleetTest#stopCutsNoRequestOfAKeptConnection failed again: with callers that come without a pause no check of a stopping node finds it idle, so that it kept listening until its end and cut the requests of that moment.

Change: after 0.6 of the grace period the listener and the idle connections are closed also while requests are under way; these have the rest of it.

--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -49,6 +49,11 @@
     /** Left of the grace period for closing the process. */
     private static final long STOP_MARGIN_MILLIS = 1_000;
 
+    /**
+     * Part of the grace period in which a stopping node still takes requests; the rest is theirs.
+     */
+    private static final double LISTENING_PART = 0.6;
+
     private static final long STOP_CHECK_MILLIS = 50;
 
     private final SidecarSettings settings;
@@ -235,14 +240,16 @@
     }
 
     /**
-     * Waits until no request is under way, then refuses new connections and closes idle ones, so
-     * that no request is read after the last look, and waits for those that came in between.
+     * Waits until no request is under way, or for a part of the grace period if callers keep
+     * coming. Then refuses new connections and closes idle ones, so that no request is read after
+     * the last look, and waits for those that are still under way.
      */
     private void awaitIdle(long startNanos, CountDownLatch ended) {
         long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         boolean idle = entry.activeCount() == 0 && host.activeCount() == 0;
         boolean late = elapsed > settings.graceMillis() - STOP_MARGIN_MILLIS;
-        if (idle && elapsed > MIN_STOP_MILLIS && callers.isOpen()) {
+        boolean closes = elapsed > settings.graceMillis() * LISTENING_PART;
+        if ((idle && elapsed > MIN_STOP_MILLIS || closes) && callers.isOpen()) {
             callers.close();
             entry.closeIdle();
         }
