--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -12,6 +12,7 @@
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.model.RefusalReason;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -159,6 +160,22 @@
                         List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "deliver 1")));
     }
 
+    /** Load pattern: all targets shed, and the service's retry budget is used up. */
+    @Test
+    void usedUpRetryBudgetEndsTheSearch() {
+        List<ExchangeEvent> events = new ArrayList<>();
+        events.add(START);
+        events.add(admitted(0));
+        events.add(new ExchangeEvent.Shed(0, RefusalReason.TARGET_SHED));
+        for (int i = 1; i < 10; i++) {
+            events.add(refused(i, new HostRefusal(RefusalReason.RETRY_BUDGET, 0, false)));
+        }
+        List<String> seen = play(false, 2, 10, events);
+        assertEquals(1 + Exchange.MAX_BUDGET_REFUSALS + 1, seen.size(), seen.toString());
+        // Nothing has run, so the caller may come back.
+        assertEquals("refuse RETRY_BUDGET", seen.getLast());
+    }
+
     static Stream<Arguments> offers() {
         ExchangeEvent woke = new ExchangeEvent.Woke();
         return Stream.of(
