--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -71,8 +71,12 @@
         /** Runs the request and sends bytes that are no answer. */
         record Garbage() implements Behaviour {}
 
-        /** Runs the request and answers it twice. */
-        record Twice() implements Behaviour {}
+        /**
+         * Runs the request and answers it twice.
+         *
+         * @param body the body of both answers
+         */
+        record Twice(String body) implements Behaviour {}
 
         /** Runs the request and never answers. */
         record Mute() implements Behaviour {}
@@ -190,8 +194,8 @@
                 return false;
             }
             case Behaviour.Garbage ignored -> write(out, "\u0001\u0002 no answer\r\n\r\n");
-            case Behaviour.Twice ignored -> {
-                String answer = whole(request, 200, "ok");
+            case Behaviour.Twice twice -> {
+                String answer = whole(request, 200, twice.body());
                 write(out, answer + answer);
             }
             default -> TimeUnit.SECONDS.sleep(30);
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -70,7 +70,7 @@
     @Test
     void secondAnswerReachesNobody() throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop")) {
-            fleet.targets.getFirst().behaviour(request -> new Behaviour.Twice());
+            fleet.targets.getFirst().behaviour(request -> new Behaviour.Twice("ok"));
             for (int i = 0; i < 20; i++) {
                 HttpResponse<String> response = fleet.request(0, "GET", "/read/a", "id-" + i);
                 assertEquals(200, response.statusCode(), fleet::log);
--- a/src/test/java/org/azureshed/process/SoakTarget.java
+++ b/src/test/java/org/azureshed/process/SoakTarget.java
@@ -173,7 +173,7 @@
             case RESETS -> new Behaviour.Reset();
             case TRUNCATED -> new Behaviour.Truncated();
             case GARBAGE -> new Behaviour.Garbage();
-            case TWICE -> new Behaviour.Twice();
+            case TWICE -> new Behaviour.Twice(body);
             case MUTE -> new Behaviour.Mute();
             case SLOW -> new Behaviour.Answer(200, work + SLOW_MILLIS, body);
             default -> new Behaviour.Answer(500, work, "");
