Install the SIGHUP handler before anything else

SIGHUP had come before its handler was installed, and the JVM then ends the process, in which the node's own shutdown hook runs.

Change: the handler is installed first and does nothing until the node runs; the settings are read after it.

--- a/src/main/java/org/azureshed/platform/SidecarMain.java
+++ b/src/main/java/org/azureshed/platform/SidecarMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
 import org.azureshed.sidecar.SidecarNode;
 import org.azureshed.sidecar.SidecarSettings;
 import org.azureshed.telemetry.DecisionLog;
@@ -32,13 +33,16 @@
      * @param args unused
      */
     public static void main(String[] args) {
+        // Installed first: without a handler SIGHUP ends the process.
+        AtomicReference<Runnable> onHangup = new AtomicReference<>(() -> {});
+        Signal.handle(new Signal("HUP"), signal -> onHangup.get().run());
         try {
             Path path = SettingsDecoder.path(System.getenv());
             SettingsFile file = new SettingsFile(path, System.getenv());
             SidecarSettings settings = file.read();
             DecisionLog log = new DecisionLog(System.out, settings.node());
             SidecarNode node = new SidecarNode(settings, protocol(settings, log), log);
-            Signal.handle(new Signal("HUP"), signal -> reload(node, file, log));
+            onHangup.set(() -> reload(node, file, log));
             node.every(SETTINGS_CHECK_MILLIS, () -> reloadIfChanged(node, file, log));
             Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
             node.start();
--- a/src/test/java/org/azureshed/process/SoakIT.java
+++ b/src/test/java/org/azureshed/process/SoakIT.java
@@ -35,7 +35,8 @@
     @ParameterizedTest
     @CsvSource({
         "4, a node that stops ended while it read a request",
-        "20, a node that stops ended while it read a request"
+        "20, a node that stops ended while it read a request",
+        "48, SIGHUP right after a start ended the process"
     })
     void failedSeedHolds(long seed, String cause) throws Exception {
         assertEquals(List.of(), play(seed, NODES, MILLIS), cause);
