Answer waiting requests before a stopping node ends

A node that ends at the end of its grace period closed the connections of requests that waited, for example in the queue of another node.

Change: before it ends, a node answers what is under way: 503 if no target can have received the request, 504 otherwise.

Measured: SidecarFleetTest#waitingRequestIsAnsweredBeforeItsNodeEnds gets no answer before the change and 503 since.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -126,6 +126,7 @@
             case ExchangeEvent.Shed shed -> onShed(shed, nowNanos);
             case ExchangeEvent.Lost lost -> onLost(lost, nowNanos);
             case ExchangeEvent.Answered answered -> onAnswered(answered, nowNanos);
+            case ExchangeEvent.Stopped ignored -> end(RefusalReason.NODE_DRAINING, "node stopped");
             case ExchangeEvent.Woke ignored -> onWoke(nowNanos);
         }
         return List.copyOf(effects);
@@ -259,15 +260,7 @@
 
     private void onWoke(long nowNanos) {
         if (nowNanos - limitNanos >= 0) {
-            boolean unknown =
-                    lostBefore || attempts.values().stream().anyMatch(attempt -> attempt.admitted);
-            cancelAll();
-            done = true;
-            effects.add(
-                    unknown
-                            ? new ExchangeEffect.Fail(GATEWAY_TIMEOUT, "deadline")
-                            : new ExchangeEffect.Refuse(
-                                    RefusalReason.DEADLINE_EXCEEDED, retryAfterMillis()));
+            end(RefusalReason.DEADLINE_EXCEEDED, "deadline");
             return;
         }
         if (hedgeDue(nowNanos) && retryAllowed(nowNanos)) {
@@ -277,6 +270,18 @@
         wake(nowNanos);
     }
 
+    /** Gives up: the request was refused if no target can have received it. */
+    private void end(RefusalReason refusal, String cause) {
+        boolean unknown =
+                lostBefore || attempts.values().stream().anyMatch(attempt -> attempt.admitted);
+        cancelAll();
+        done = true;
+        effects.add(
+                unknown
+                        ? new ExchangeEffect.Fail(GATEWAY_TIMEOUT, cause)
+                        : new ExchangeEffect.Refuse(refusal, retryAfterMillis()));
+    }
+
     private boolean hedgeDue(long nowNanos) {
         return route.repeatable()
                 && !hedged
--- a/src/main/java/org/azureshed/dispatch/ExchangeEvent.java
+++ b/src/main/java/org/azureshed/dispatch/ExchangeEvent.java
@@ -52,6 +52,9 @@
      */
     record Answered(int attempt, int status) implements ExchangeEvent {}
 
+    /** The node ends now; the caller must get an answer before. */
+    record Stopped() implements ExchangeEvent {}
+
     /** The time of the last {@link ExchangeEffect.WakeAt} has come. */
     record Woke() implements ExchangeEvent {}
 }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -253,8 +253,12 @@
             callers.close();
             entry.closeIdle();
         }
+        if (late) {
+            entry.endRequests();
+        }
         if (late || idle && !callers.isOpen() && entry.connectionCount() == 0) {
-            ended.countDown();
+            // One more round of the event loop writes the last answers.
+            loop.schedule(ended::countDown, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(
                     () -> awaitIdle(startNanos, ended), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.dispatch.ExchangeEvent;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.model.RefusalReason;
 
@@ -155,6 +156,13 @@
         }
     }
 
+    /** Answers the request under way, if there is one. */
+    void endRequest() {
+        if (exchange != null) {
+            exchange.handle(new ExchangeEvent.Stopped());
+        }
+    }
+
     private void awaitRequest() {
         schedule(limits().idleTimeoutMillis(), () -> context.close());
     }
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -93,6 +93,11 @@
         Set.copyOf(connections).forEach(EntryHandler::closeIfIdle);
     }
 
+    /** Answers the requests under way, because the node ends. */
+    public void endRequests() {
+        Set.copyOf(connections).forEach(EntryHandler::endRequest);
+    }
+
     /** Announces to callers on their next answer that their connection ends. */
     public void stop() {
         stopping = true;
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -214,7 +214,24 @@
                         2,
                         1,
                         List.of(START, woke),
-                        List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")));
+                        List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")),
+                // So it is when the node ends.
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, refused(0, BUSY), new ExchangeEvent.Stopped()),
+                        List.of("n0 IMMEDIATE", "n0 QUEUE", "cancel 1", "refuse NODE_DRAINING")),
+                Arguments.of(
+                        true,
+                        2,
+                        2,
+                        List.of(
+                                START,
+                                admitted(0),
+                                new ExchangeEvent.Lost(0),
+                                new ExchangeEvent.Stopped()),
+                        List.of("n0 IMMEDIATE", "n1 IMMEDIATE", "cancel 1", "fail 504")));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -64,7 +64,8 @@
                 List.of(
                         new Sessions.RouteText("/read/", "idempotent", "shop", 4_000),
                         new Sessions.RouteText("/write/", "non_idempotent", "shop", 4_000),
-                        new Sessions.RouteText("/short/", "non_idempotent", "shop", 700)));
+                        new Sessions.RouteText("/short/", "non_idempotent", "shop", 700),
+                        new Sessions.RouteText("/long/", "non_idempotent", "shop", 20_000)));
     }
 
     String ip(int index) {
@@ -142,7 +143,7 @@
                 path,
                 method.equals("POST") ? "content of " + id : "",
                 id,
-                5_000);
+                path.startsWith("/long/") ? 20_000 : 5_000);
     }
 
     long runs(String id) {
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -355,6 +355,41 @@
         }
     }
 
+    /** Guards against a request that waits at another node until its own ends without an answer. */
+    @Test
+    void waitingRequestIsAnsweredBeforeItsNodeEnds() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            assertEquals(200, fleet.heartbeat(0, "shop", "draining", 1));
+            fleet.targets.get(1).behaviour(request -> new Behaviour.Mute());
+            AtomicInteger status = new AtomicInteger();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < SidecarFleet.SLOTS; i++) {
+                String id = "mute-" + i;
+                callers.add(
+                        Thread.startVirtualThread(
+                                () -> {
+                                    try {
+                                        String path = "/long/" + id;
+                                        int answer =
+                                                fleet.request(0, "POST", path, id).statusCode();
+                                        if (fleet.runs(id) == 0) {
+                                            status.set(answer);
+                                        }
+                                    } catch (Exception e) {
+                                        status.set(-1);
+                                    }
+                                }));
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            fleet.nodes.getFirst().stop();
+            fleet.nodes.getFirst().close();
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            assertEquals(503, status.get(), fleet::log);
+        }
+    }
+
     private static void callUntil(
             AtomicBoolean ended, SidecarFleet fleet, String name, List<String> cut) {
         for (int i = 0; !ended.get(); i++) {
