Do not start a node that was stopped while it started

The stop failed on the listener that was not there yet and did not end; the node served until it was killed and cut two requests.

Change: a stop waits for a start that is under way; a node that was stopped before does not start.

--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -161,8 +161,14 @@
         this.watch = new ConfigurationWatch(store, loop, configuration, random.split(), log);
     }
 
-    /** Opens the listeners and starts reading the configuration and the directory. */
-    public void start() {
+    /**
+     * Opens the listeners and starts reading the configuration and the directory. Does nothing if
+     * the node was stopped before.
+     */
+    public synchronized void start() {
+        if (stopping) {
+            return;
+        }
         TrafficServers.control(loop, settings.healthListen(), this::health);
         TrafficServers.control(
                 loop, settings.heartbeatListen(), protocol.heartbeats().apply(target));
@@ -214,6 +220,11 @@
     public void stop() {
         long startNanos = System.nanoTime();
         stopping = true;
+        if (!started()) {
+            log.write("stopped", "cause", "not started");
+            log.close();
+            return;
+        }
         log.write("stopping", "active", entry.activeCount(), "hosted", host.activeCount());
         CountDownLatch ended = new CountDownLatch(1);
         loop.execute(
@@ -232,6 +243,11 @@
         log.close();
     }
 
+    /** Waits for a start that is under way on another thread. */
+    private synchronized boolean started() {
+        return callers != null;
+    }
+
     /** Ends the node at once, as a killed process does. */
     @Override
     public void close() {
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -90,6 +90,13 @@
     }
 
     SidecarNode start(int index, String service, boolean firstStart) {
+        SidecarNode node = create(index, service, firstStart);
+        node.start();
+        return node;
+    }
+
+    /** Creates a node that does not listen yet. */
+    SidecarNode create(int index, String service, boolean firstStart) {
         SidecarSettings settings =
                 new SidecarSettings(
                         "node-" + index,
@@ -111,7 +118,6 @@
                         firstStart);
         DecisionLog log = new DecisionLog(lines, settings.node());
         SidecarNode node = new SidecarNode(settings, SidecarMain.protocol(settings, log), log);
-        node.start();
         nodes.add(node);
         return node;
     }
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -1,9 +1,11 @@
 package org.azureshed.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -18,6 +20,7 @@
 import org.azureshed.platform.standin.StoreStandIn;
 import org.azureshed.platform.standin.TargetStandIn;
 import org.azureshed.platform.standin.TargetStandIn.Behaviour;
+import org.azureshed.sidecar.SidecarNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -390,6 +393,19 @@
         }
     }
 
+    /**
+     * Guards against a node that is stopped while it starts, and then serves until it is killed.
+     */
+    @Test
+    void nodeStoppedBeforeItsStartNeverListens() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop")) {
+            SidecarNode late = fleet.create(1, "shop", true);
+            late.stop();
+            late.start();
+            assertThrows(ConnectException.class, () -> fleet.request(1, "GET", "/read/a", "id"));
+        }
+    }
+
     private static void callUntil(
             AtomicBoolean ended, SidecarFleet fleet, String name, List<String> cut) {
         for (int i = 0; !ended.get(); i++) {
--- a/src/test/java/org/azureshed/process/SoakIT.java
+++ b/src/test/java/org/azureshed/process/SoakIT.java
@@ -36,7 +36,8 @@
     @CsvSource({
         "4, a node that stops ended while it read a request",
         "20, a node that stops ended while it read a request",
-        "48, SIGHUP right after a start ended the process"
+        "48, SIGHUP right after a start ended the process",
+        "58, SIGTERM during the start of a node that then served until it was killed"
     })
     void failedSeedHolds(long seed, String cause) throws Exception {
         assertEquals(List.of(), play(seed, NODES, MILLIS), cause);
