Start the fleet's services before the heartbeat listener opens

Cause: SidecarNode.start opened the listener for heartbeats before it set HostService.onPublishedChange.

Change: the listeners between the parts are set in the constructor, and the services start on the event loop before any port is opened.

--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -162,6 +162,9 @@
                         log);
         this.target = new LocalTarget(settings, host, fleet, loop, log);
         this.watch = new ConfigurationWatch(store, loop, configuration, random.split(), log);
+        host.onCrash(fleet::requestCrashedTarget);
+        host.onPublishedChange(fleet::targetChanged);
+        fleet.onPreviousTarget(target::restore);
     }
 
     /**
@@ -172,21 +175,20 @@
         if (stopping) {
             return;
         }
+        // The directory must hold this node before its first heartbeat can change the entry.
+        loop.submit(
+                        () -> {
+                            watch.start();
+                            fleet.start();
+                            target.start();
+                        })
+                .syncUninterruptibly();
         TrafficServers.control(loop, settings.healthListen(), this::health);
         TrafficServers.control(
                 loop, settings.heartbeatListen(), protocol.heartbeats().apply(target));
         TrafficServers.control(loop, settings.peerListen(), this::peerCall);
         TrafficServers.host(loop, settings.hostListen(), host);
         callerListener = TrafficServers.entry(loop, settings.callerListen(), entry);
-        loop.execute(
-                () -> {
-                    host.onCrash(fleet::requestCrashedTarget);
-                    host.onPublishedChange(fleet::targetChanged);
-                    fleet.onPreviousTarget(target::restore);
-                    watch.start();
-                    fleet.start();
-                    target.start();
-                });
         loop.scheduleAtFixedRate(
                 this::closeIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         log.write(
