--- a/src/main/java/org/azureshed/directory/Directory.java
+++ b/src/main/java/org/azureshed/directory/Directory.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
+import org.azureshed.model.Endpoint;
 
 /**
  * All nodes and targets known to this node. Entries are merged by incarnation and revision, so all
@@ -24,7 +25,7 @@
  */
 public final class Directory {
     private final Map<String, NodeEntry> entries = new TreeMap<>();
-    private final Map<String, String> nodeByAddress = new HashMap<>();
+    private final Map<Endpoint, String> nodeByAddress = new HashMap<>();
     private final Map<String, List<NodeEntry>> usableByService = new HashMap<>();
 
     /**
--- a/src/main/java/org/azureshed/directory/Heartbeat.java
+++ b/src/main/java/org/azureshed/directory/Heartbeat.java
@@ -1,8 +1,8 @@
 package org.azureshed.directory;
 
-import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.TargetState;
 
 /**
@@ -11,9 +11,10 @@
  * @param id identifier of the target
  * @param startMillis Unix time of the target's start in milliseconds; 0 if not given
  * @param sequence grows with each heartbeat, and begins anew at each start
- * @param address IP address and port of the target
+ * @param address endpoint of the target
  * @param service name of its service
- * @param slots number of requests that the target runs at the same time, at least 1
+ * @param slots number of requests that the target runs at the same time, from 1 to {@link
+ *     TargetEntry#MAX_SLOTS}
  * @param state whether the target accepts new requests
  * @param warmupLeftMillis time in milliseconds until the target has warmed up after its start; 0 if
  *     it has
@@ -22,7 +23,7 @@
         String id,
         long startMillis,
         long sequence,
-        String address,
+        Endpoint address,
         String service,
         int slots,
         TargetState state,
@@ -33,6 +34,6 @@
         checkNotNull(address, "address");
         checkNotNull(service, "service");
         checkNotNull(state, "state");
-        checkArgument(slots > 0, "slots must be positive, not %s", slots);
+        TargetEntry.checkIdAndSlots(id, slots);
     }
 }
--- a/src/main/java/org/azureshed/directory/NodeEntry.java
+++ b/src/main/java/org/azureshed/directory/NodeEntry.java
@@ -3,13 +3,14 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import org.azureshed.model.Endpoint;
 
 /**
  * One node and the target beside it. Only the node itself changes its entry.
  *
  * @param name name of the node
  * @param availabilityZone availability zone of the node
- * @param address IP address and port on which the node accepts requests from other nodes
+ * @param address endpoint on which the node accepts requests from other nodes
  * @param incarnation grows with each start of the node's process
  * @param revision grows with each change within an incarnation
  * @param target the target beside the node, or empty if none has announced itself
@@ -17,7 +18,7 @@
 public record NodeEntry(
         String name,
         String availabilityZone,
-        String address,
+        Endpoint address,
         long incarnation,
         long revision,
         Optional<TargetEntry> target) {
--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.TargetState;
 
 /**
@@ -14,7 +15,7 @@
     /** Departed targets that are kept; a late heartbeat arrives within seconds. */
     private static final int MAX_DEPARTED = 64;
 
-    private final String localAddress;
+    private final Endpoint localAddress;
     private final long heartbeatTimeoutNanos;
     private final Map<String, Long> departedStarts =
             new LinkedHashMap<>() {
@@ -40,11 +41,11 @@
     /**
      * Creates an empty register.
      *
-     * @param localAddress IP address and port of the target beside this node
+     * @param localAddress endpoint of the target beside this node
      * @param heartbeatTimeoutNanos time in nanoseconds without a heartbeat after which the target
      *     is gone
      */
-    public TargetRegister(String localAddress, long heartbeatTimeoutNanos) {
+    public TargetRegister(Endpoint localAddress, long heartbeatTimeoutNanos) {
         this.localAddress = localAddress;
         this.heartbeatTimeoutNanos = heartbeatTimeoutNanos;
     }
--- a/src/main/java/org/azureshed/model/Endpoint.java
+++ b/src/main/java/org/azureshed/model/Endpoint.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.net.InetAddresses;
+import java.util.Set;
+
 /**
  * Host and port of a TCP endpoint.
  *
@@ -11,6 +14,9 @@
 public record Endpoint(String host, int port) {
     private static final int MAX_PORT = 65_535;
 
+    /** A connection to one of these reaches the local machine. */
+    private static final Set<String> UNSPECIFIED_ADDRESSES = Set.of("0.0.0.0", "[::]");
+
     /** Checks host and port. */
     public Endpoint {
         checkArgument(!host.isBlank(), "host of an endpoint is empty");
@@ -33,6 +39,34 @@
         return new Endpoint(text.substring(0, colon), Integer.parseInt(port));
     }
 
+    /**
+     * Parses an IP address and port, so that using the endpoint needs no name resolution.
+     *
+     * @param text for example {@code 10.0.0.7:8080} or {@code [fd00::7]:8080}
+     * @return the endpoint
+     * @throws IllegalArgumentException if the host is not an IP address literal of one machine, or
+     *     the port is missing or out of range
+     */
+    public static Endpoint parseIp(String text) {
+        Endpoint endpoint = parse(text);
+        checkArgument(
+                InetAddresses.isUriInetAddress(endpoint.host)
+                        && !UNSPECIFIED_ADDRESSES.contains(endpoint.host),
+                "host of endpoint \"%s\" is not the IP address of a machine",
+                text);
+        return endpoint;
+    }
+
+    /**
+     * Replaces the port.
+     *
+     * @param changed TCP port, 1 to 65535
+     * @return an endpoint with the same host
+     */
+    public Endpoint withPort(int changed) {
+        return new Endpoint(host, changed);
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/src/main/java/org/azureshed/platform/HeartbeatHandler.java
+++ b/src/main/java/org/azureshed/platform/HeartbeatHandler.java
@@ -6,6 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.azureshed.directory.Heartbeat;
+import org.azureshed.directory.TargetEntry;
+import org.azureshed.json.JsonFields;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.TargetState;
 import org.azureshed.sidecar.TargetListener;
 import org.azureshed.telemetry.DecisionLog;
@@ -37,20 +40,30 @@
         }
         String id = path.substring(PATH_PREFIX.length());
         Runnable acknowledge = () -> reply.accept(ACKNOWLEDGED);
+        Runnable call;
         try {
-            switch (method) {
-                case "PUT" -> listener.heartbeat(heartbeat(id, json.readTree(body)), acknowledge);
-                case "DELETE" ->
-                        listener.departed(
-                                id,
-                                body.length == 0 ? 0 : startMillis(json.readTree(body)),
-                                acknowledge);
-                default -> reply.accept(Reply.of(405));
-            }
+            call = decode(method, id, body, acknowledge);
         } catch (IOException | IllegalArgumentException e) {
             log.write("heartbeat_unreadable", "target", id, "cause", e.getMessage());
             reply.accept(Reply.of(400));
+            return;
         }
+        call.run();
+    }
+
+    private Runnable decode(String method, String id, byte[] body, Runnable acknowledge)
+            throws IOException {
+        return switch (method) {
+            case "PUT" -> {
+                Heartbeat heartbeat = heartbeat(id, json.readTree(body));
+                yield () -> listener.heartbeat(heartbeat, acknowledge);
+            }
+            case "DELETE" -> {
+                long startMillis = body.length == 0 ? 0 : startMillis(json.readTree(body));
+                yield () -> listener.departed(id, startMillis, acknowledge);
+            }
+            default -> throw new IllegalArgumentException("method " + method);
+        };
     }
 
     private static Heartbeat heartbeat(String id, JsonNode json) {
@@ -59,12 +72,14 @@
         return new Heartbeat(
                 id,
                 startMillis(json),
-                wholeNumber(status, "sequence"),
-                text(json, "address"),
-                text(info, "service"),
-                (int) wholeNumber(info, "slots"),
-                state(text(status, "state")),
-                status.has("warmupLeftMs") ? wholeNumber(status, "warmupLeftMs") : 0);
+                JsonFields.wholeNumber(status, "sequence", Long.MIN_VALUE, Long.MAX_VALUE),
+                Endpoint.parseIp(JsonFields.text(json, "address")),
+                JsonFields.text(info, "service"),
+                (int) JsonFields.wholeNumber(info, "slots", 1, TargetEntry.MAX_SLOTS),
+                state(JsonFields.text(status, "state")),
+                status.has("warmupLeftMs")
+                        ? JsonFields.wholeNumber(status, "warmupLeftMs", 0, Long.MAX_VALUE)
+                        : 0);
     }
 
     private static TargetState state(String text) {
@@ -77,22 +92,6 @@
 
     /** Returns the Unix time of the target's start in milliseconds; 0 if the body lacks it. */
     private static long startMillis(JsonNode json) {
-        return json.has("born") ? wholeNumber(json, "born") : 0;
-    }
-
-    private static long wholeNumber(JsonNode json, String field) {
-        JsonNode value = json.path(field);
-        if (!value.isNumber() || value.doubleValue() != Math.rint(value.doubleValue())) {
-            throw new IllegalArgumentException(field + " is not a whole number");
-        }
-        return value.longValue();
-    }
-
-    private static String text(JsonNode json, String field) {
-        JsonNode value = json.path(field);
-        if (!value.isTextual()) {
-            throw new IllegalArgumentException(field + " is not a string");
-        }
-        return value.textValue();
+        return json.has("born") ? JsonFields.wholeNumber(json, "born", 0, Long.MAX_VALUE) : 0;
     }
 }
--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -2,13 +2,18 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.azureshed.json.JsonFields;
+import org.azureshed.json.JsonSlice;
+import org.azureshed.model.Endpoint;
 import org.azureshed.sidecar.FleetStore;
 import org.azureshed.traffic.ControlClient;
 
@@ -17,21 +22,22 @@
     /** The store responds within milliseconds; a slower call counts as unanswered. */
     private static final long RESPONSE_TIMEOUT_MILLIS = 1_500;
 
+    private static final int MAX_CAUSE_LENGTH = 120;
     private static final byte[] EMPTY_BODY = {};
 
     private final ObjectMapper json = new ObjectMapper();
     private final ControlClient client;
-    private final String address;
+    private final Endpoint address;
     private final Consumer<String> onResult;
 
     /**
      * Creates a client.
      *
      * @param client HTTP client
-     * @param address IP address and port of the store
+     * @param address endpoint of the store
      * @param onResult receives the simple class name of each call's {@link Result}, for metrics
      */
-    PlatformStore(ControlClient client, String address, Consumer<String> onResult) {
+    PlatformStore(ControlClient client, Endpoint address, Consumer<String> onResult) {
         this.client = client;
         this.address = address;
         this.onResult = onResult;
@@ -61,30 +67,18 @@
     @Override
     public void create(String kind, String name, JsonNode content, Consumer<Result> done) {
         byte[] body = bytes(name, content);
-        call(
-                "POST",
-                path(kind),
-                body,
-                RESPONSE_TIMEOUT_MILLIS,
-                answer -> singleEntry(kind, answer),
-                done);
+        call("POST", path(kind), body, RESPONSE_TIMEOUT_MILLIS, PlatformStore::written, done);
     }
 
     @Override
     public void replace(String kind, String name, JsonNode content, Consumer<Result> done) {
         byte[] body = bytes(name, content);
-        call(
-                "PUT",
-                path(kind, name),
-                body,
-                RESPONSE_TIMEOUT_MILLIS,
-                answer -> singleEntry(kind, answer),
-                done);
+        call("PUT", path(kind, name), body, RESPONSE_TIMEOUT_MILLIS, PlatformStore::written, done);
     }
 
     /** Decodes the response body of a successful call. */
     private interface BodyReader {
-        Result read(JsonNode body);
+        Result read(byte[] body) throws IOException;
     }
 
     private void call(
@@ -114,7 +108,7 @@
                 try {
                     yield response(response, reader);
                 } catch (IOException e) {
-                    yield new Result.NoAnswer("malformed response: " + e.getMessage());
+                    yield new Result.NoAnswer("malformed response: " + shorten(e.getMessage()));
                 }
             }
         };
@@ -123,7 +117,7 @@
     private Result response(ControlClient.Result.Response response, BodyReader reader)
             throws IOException {
         return switch (response.status()) {
-            case 200, 201 -> reader.read(json.readTree(response.body()));
+            case 200, 201 -> reader.read(response.body());
             case 404 -> new Result.Missing();
             case 409 -> new Result.Conflict();
             case 410 -> new Result.HistoryGone();
@@ -132,34 +126,98 @@
         };
     }
 
-    private static Result singleEntry(String kind, JsonNode body) {
-        StoredEntry entry = entry(kind, body, false);
-        return new Result.Done(List.of(entry), entry.revision(), false);
+    /** The response to a write repeats the object, which others may have changed since. */
+    private static Result written(byte[] ignored) {
+        return new Result.Done(List.of(), List.of(), 0, Optional.empty());
+    }
+
+    private Result page(String kind, byte[] body) throws IOException {
+        JsonSlice page = JsonSlice.of(body);
+        Entries read = new Entries(kind);
+        for (JsonSlice item : member(page, "items").elements()) {
+            read.add(item, false);
+        }
+        boolean more = page.member("hasMore").isPresent() && flag(page, "hasMore");
+        return read.done(
+                revision(page),
+                more && !read.lastName.isEmpty() ? Optional.of(read.lastName) : Optional.empty());
+    }
+
+    private Result events(String kind, byte[] body) throws IOException {
+        JsonSlice page = JsonSlice.of(body);
+        Entries read = new Entries(kind);
+        for (JsonSlice event : member(page, "events").elements()) {
+            read.addEvent(event);
+        }
+        return read.done(revision(page), Optional.empty());
+    }
+
+    /** Objects of one response, each decoded on its own. */
+    private final class Entries {
+        private final String kind;
+        private final List<StoredEntry> readable = new ArrayList<>();
+        private final List<UnreadableEntry> unreadable = new ArrayList<>();
+
+        /** Name of the last object whose name could be read. */
+        private String lastName = "";
+
+        Entries(String kind) {
+            this.kind = kind;
+        }
+
+        void addEvent(JsonSlice event) {
+            try {
+                add(
+                        member(event, "object"),
+                        event.member("removed").isPresent() && flag(event, "removed"));
+            } catch (IOException e) {
+                unreadable.add(new UnreadableEntry(kind, "", shorten(e.getMessage())));
+            }
+        }
+
+        void add(JsonSlice object, boolean removed) {
+            String name = "";
+            try {
+                JsonNode metadata = member(object, "metadata").parse(json);
+                name = JsonFields.text(metadata, "name");
+                lastName = name;
+                long revision = JsonFields.wholeNumber(metadata, "revision", 0, Long.MAX_VALUE);
+                JsonNode content =
+                        removed
+                                ? MissingNode.getInstance()
+                                : member(object, "specification").parse(json);
+                readable.add(new StoredEntry(kind, name, revision, removed, content));
+            } catch (IOException | IllegalArgumentException e) {
+                unreadable.add(new UnreadableEntry(kind, name, shorten(e.getMessage())));
+            }
+        }
+
+        Result done(long revision, Optional<String> next) {
+            return new Result.Done(readable, unreadable, revision, next);
+        }
+    }
+
+    private static JsonSlice member(JsonSlice object, String name) throws IOException {
+        return object.member(name).orElseThrow(() -> new IOException("no field " + name));
     }
 
-    private static Result page(String kind, JsonNode body) {
-        List<StoredEntry> entries = new ArrayList<>();
-        body.path("items").forEach(item -> entries.add(entry(kind, item, false)));
-        return new Result.Done(entries, body.path("at").asLong(), body.path("hasMore").asBoolean());
+    private boolean flag(JsonSlice object, String name) throws IOException {
+        return member(object, name).parse(json).asBoolean();
     }
 
-    private static Result events(String kind, JsonNode body) {
-        List<StoredEntry> entries = new ArrayList<>();
-        for (JsonNode event : body.path("events")) {
-            boolean removed = event.path("removed").asBoolean();
-            entries.add(entry(kind, event.path("object"), removed));
+    private long revision(JsonSlice page) throws IOException {
+        JsonNode revision = member(page, "at").parse(json);
+        if (!revision.canConvertToLong()) {
+            throw new IOException("the revision is not a whole number");
         }
-        return new Result.Done(entries, body.path("at").asLong(), false);
+        return revision.longValue();
     }
 
-    private static StoredEntry entry(String kind, JsonNode object, boolean removed) {
-        JsonNode metadata = object.path("metadata");
-        return new StoredEntry(
-                kind,
-                metadata.path("name").asText(),
-                metadata.path("revision").asLong(),
-                removed,
-                object.path("specification"));
+    /** Cuts a parser's message, which may quote the document, to a length fit for the log. */
+    private static String shorten(String message) {
+        String text = String.valueOf(message);
+        int lineEnd = text.indexOf('\n');
+        return text.substring(0, Math.min(lineEnd < 0 ? text.length() : lineEnd, MAX_CAUSE_LENGTH));
     }
 
     private byte[] bytes(String name, JsonNode content) {
--- a/src/main/java/org/azureshed/platform/SettingsDecoder.java
+++ b/src/main/java/org/azureshed/platform/SettingsDecoder.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import org.azureshed.model.Endpoint;
 import org.azureshed.sidecar.SidecarSettings;
 
 /** Decodes the JSON settings file that the platform writes for each process. */
@@ -53,13 +54,13 @@
                 text(json, "/zone"),
                 text(json, "/service"),
                 environment.getOrDefault(ADVERTISED_IP_VARIABLE, ip),
-                text(json, "/appAddress"),
-                text(json, "/listen/outbound"),
-                text(json, "/listen/inbound"),
-                text(json, "/listen/ready"),
-                text(json, "/listen/control"),
-                ip + ':' + (long) number(json, "/internalPorts/0"),
-                text(json, "/platform/address"),
+                endpoint(json, "/appAddress"),
+                endpoint(json, "/listen/outbound"),
+                endpoint(json, "/listen/inbound"),
+                endpoint(json, "/listen/ready"),
+                endpoint(json, "/listen/control"),
+                peerEndpoint(ip, number(json, "/internalPorts/0")),
+                endpoint(json, "/platform/address"),
                 (long) number(json, "/heartbeatIntervalMs"),
                 (long) (bound(bounds, "graceS") * 1_000),
                 bound(bounds, "budgetRatio"),
@@ -100,6 +101,27 @@
         return value.textValue();
     }
 
+    private static Endpoint endpoint(JsonNode json, String pointer) {
+        try {
+            return Endpoint.parseIp(text(json, pointer));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(
+                    "the settings have no IP address and port at "
+                            + pointer
+                            + ": "
+                            + e.getMessage(),
+                    e);
+        }
+    }
+
+    private static Endpoint peerEndpoint(String ip, double port) {
+        if (port != (int) port) {
+            throw new IllegalArgumentException(
+                    "the settings have no port at /internalPorts/0: " + port);
+        }
+        return Endpoint.parseIp(ip + ':' + (int) port);
+    }
+
     private static double number(JsonNode json, String pointer) {
         JsonNode value = json.at(pointer);
         if (!value.isNumber()) {
--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -110,6 +111,18 @@
         store(kind, name, content);
     }
 
+    /**
+     * Creates or replaces an object with content that other writers may leave behind, for example
+     * numbers or nesting beyond a parser's limits.
+     *
+     * @param kind kind of the object
+     * @param name name, unique within the kind
+     * @param content JSON text of the object's field {@code specification}, sent as it is
+     */
+    public void putRaw(String kind, String name, String content) {
+        put(kind, name, json.getNodeFactory().rawValueNode(new RawValue(content)));
+    }
+
     /** Drops the change history. Watches from an earlier revision get 410 and must list again. */
     public synchronized void dropHistory() {
         revision++;
--- a/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
@@ -32,8 +32,9 @@
         TrafficConfiguration decoded;
         try {
             decoded = decoder.apply(encoded);
-        } catch (IllegalArgumentException e) {
-            log.write("configuration_unreadable", "source", source, "cause", e.getMessage());
+        } catch (RuntimeException e) {
+            // Any error in decoding must leave the active configuration in force.
+            log.write("configuration_unreadable", "source", source, "cause", e);
             return;
         }
         if (content.isPresent() && decoded.version() <= version) {
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -26,6 +26,7 @@
     private final EventLoop loop;
     private final ConfigurationHolder holder;
     private final Backoff backoff;
+    private final UnusableEntries unusable;
     private final DecisionLog log;
     private boolean reachable = true;
 
@@ -34,11 +35,13 @@
             EventLoop loop,
             ConfigurationHolder holder,
             SplittableRandom random,
+            UnusableEntries unusable,
             DecisionLog log) {
         this.store = store;
         this.loop = loop;
         this.holder = holder;
         this.backoff = new Backoff(random);
+        this.unusable = unusable;
         this.log = log;
     }
 
@@ -66,12 +69,13 @@
 
     private void listed(FleetStore.Result.Done done) {
         onStoreReachable();
+        unusable.report(done);
         done.entries().stream()
                 .filter(entry -> entry.name().equals(NAME))
                 .forEach(entry -> holder.applyIfNewer(entry.content(), "store"));
         boolean found = done.entries().stream().anyMatch(entry -> entry.name().equals(NAME));
-        if (!found && done.more() && !done.entries().isEmpty()) {
-            list(done.entries().getLast().name());
+        if (!found && done.next().isPresent()) {
+            list(done.next().get());
         } else {
             watch(done.revision());
         }
@@ -86,6 +90,7 @@
                     switch (result) {
                         case FleetStore.Result.Done done -> {
                             onStoreReachable();
+                            unusable.report(done);
                             done.entries().stream()
                                     .filter(entry -> entry.name().equals(NAME))
                                     .filter(entry -> !entry.removed())
--- a/src/main/java/org/azureshed/sidecar/FleetStore.java
+++ b/src/main/java/org/azureshed/sidecar/FleetStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -25,16 +26,32 @@
     record StoredEntry(
             String kind, String name, long revision, boolean removed, JsonNode content) {}
 
+    /**
+     * An object that another writer left in a form that cannot be decoded.
+     *
+     * @param kind kind of the object
+     * @param name its name; empty if that cannot be read either
+     * @param cause short description for the log
+     */
+    record UnreadableEntry(String kind, String name, String cause) {}
+
     /** How a call ended. */
     sealed interface Result {
         /**
          * The call succeeded.
          *
-         * @param entries the objects that were read or written
-         * @param revision current revision of the store; 0 if the response does not contain it
-         * @param more whether a listing has further pages after the last entry
+         * @param entries the readable objects of a listing or watch; empty for a write
+         * @param unreadable the objects of a listing or watch that cannot be decoded
+         * @param revision current revision of the store; 0 for a write
+         * @param next name after which a listing continues on the next page; empty if it is
+         *     complete
          */
-        record Done(List<StoredEntry> entries, long revision, boolean more) implements Result {}
+        record Done(
+                List<StoredEntry> entries,
+                List<UnreadableEntry> unreadable,
+                long revision,
+                Optional<String> next)
+                implements Result {}
 
         /** The object does not exist. */
         record Missing() implements Result {}
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -17,6 +17,9 @@
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.dispatch.SuspectRequests;
+import org.azureshed.json.JsonFields;
+import org.azureshed.json.JsonSlice;
+import org.azureshed.model.Endpoint;
 import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.ControlClient;
@@ -45,6 +48,10 @@
      */
     private static final long LISTING_INTERVAL_MILLIS = 8_000;
 
+    /** Two nodes that are set to the same address by mistake would raise each other endlessly. */
+    private static final long MIN_RECLAIM_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private static final int MAX_CRASHES = 1_000;
     private static final byte[] EMPTY_BODY = {};
 
     private final SidecarSettings settings;
@@ -57,6 +64,7 @@
     private final SplittableRandom random;
     private final DecisionLog log;
     private final ObjectMapper json;
+    private final UnusableEntries unusable;
     private final Backoff writeBackoff;
     private final List<Runnable> afterWrite = new ArrayList<>();
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
@@ -66,6 +74,7 @@
     private boolean writing;
     private boolean writePending;
     private boolean listed;
+    private long lastReclaimNanos = System.nanoTime() - MIN_RECLAIM_NANOS;
 
     FleetSync(
             SidecarSettings settings,
@@ -78,6 +87,7 @@
             ConfigurationHolder configuration,
             SplittableRandom random,
             ObjectMapper json,
+            UnusableEntries unusable,
             DecisionLog log) {
         this.settings = settings;
         this.directory = directory;
@@ -88,6 +98,7 @@
         this.configuration = configuration;
         this.random = random;
         this.json = json;
+        this.unusable = unusable;
         this.log = log;
         this.writeBackoff = new Backoff(random.split());
         this.own =
@@ -249,17 +260,15 @@
             }
             return;
         }
+        unusable.report(done);
         boolean changed = false;
         for (FleetStore.StoredEntry stored : done.entries()) {
-            Optional<NodeEntry> entry = NodeEntryCodec.decode(stored.content());
-            if (entry.isEmpty()) {
-                log.write("entry_unreadable", "name", stored.name());
-            } else {
-                changed |= mergeEntry(entry.get());
-            }
+            Optional<NodeEntry> entry = decode(stored);
+            changed |= entry.isPresent() && mergeEntry(entry.get());
         }
-        if (done.more() && !done.entries().isEmpty()) {
-            String next = done.entries().getLast().name();
+        // A page that does not advance would be read forever.
+        if (done.next().filter(name -> name.compareTo(after) > 0).isPresent()) {
+            String next = done.next().get();
             store.list(KIND, next, stale, page -> onListing(page, next, stale));
         } else if (!listed) {
             listed = true;
@@ -270,6 +279,19 @@
         }
     }
 
+    private Optional<NodeEntry> decode(FleetStore.StoredEntry stored) {
+        try {
+            NodeEntry entry = NodeEntryCodec.decode(stored.content(), System.currentTimeMillis());
+            if (entry.name().equals(stored.name())) {
+                return Optional.of(entry);
+            }
+            unusable.report(KIND, stored.name(), "entry of another name: " + entry.name());
+        } catch (IllegalArgumentException e) {
+            unusable.report(KIND, stored.name(), e.getMessage());
+        }
+        return Optional.empty();
+    }
+
     /**
      * Merges an entry into the directory. An entry of an earlier process of this node that would
      * supersede the current one makes the node choose a higher incarnation. Returns whether an
@@ -277,6 +299,9 @@
      */
     private boolean mergeEntry(NodeEntry entry) {
         if (!entry.name().equals(own.name())) {
+            if (entry.address().equals(own.address()) && entry.incarnation() >= own.incarnation()) {
+                reclaimAddress(entry);
+            }
             return directory.merge(entry);
         }
         if (entry.incarnation() == own.incarnation() && entry.revision() <= own.revision()) {
@@ -286,14 +311,31 @@
             entry.target().ifPresent(onPreviousTarget);
         }
         if (entry.supersedes(own)) {
-            log.write("incarnation_raised", "from", own.incarnation(), "to", entry.incarnation());
-            update(entry.incarnation() + 1, own.target());
-            writePending = true;
-            write();
+            raiseIncarnationAbove(entry);
         }
         return false;
     }
 
+    /**
+     * Answers the claim of another name to this node's address, which no other node can have: the
+     * address belongs to the entry with the highest incarnation.
+     */
+    private void reclaimAddress(NodeEntry claim) {
+        long now = System.nanoTime();
+        if (now - lastReclaimNanos >= MIN_RECLAIM_NANOS) {
+            lastReclaimNanos = now;
+            log.write("address_claimed", "by", claim.name(), "address", claim.address());
+            raiseIncarnationAbove(claim);
+        }
+    }
+
+    private void raiseIncarnationAbove(NodeEntry entry) {
+        log.write("incarnation_raised", "from", own.incarnation(), "to", entry.incarnation());
+        update(entry.incarnation() + 1, own.target());
+        writePending = true;
+        write();
+    }
+
     private void gossip() {
         loop.schedule(this::gossip, GOSSIP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         List<NodeEntry> peers = peers(random.nextDouble() < LOCAL_GOSSIP_FRACTION);
@@ -321,21 +363,21 @@
         return sameZoneOnly && !sameZone.isEmpty() ? sameZone : all;
     }
 
-    private void onDigestReply(NodeEntry partner, JsonNode reply) {
-        if (reply.has("entries")) {
+    private void onDigestReply(NodeEntry partner, JsonSlice reply) throws IOException {
+        if (reply.member("entries").isPresent()) {
             merge(reply, partner.name());
-            if (directory.digest() != reply.path("digest").asLong()) {
+            if (directory.digest() != number(reply, "digest")) {
                 byte[] all = bytes(message(List.copyOf(directory.nodes())));
                 send(partner, "/fleet/entries", all, merged -> merge(merged, partner.name()));
             }
         }
-        long partnerVersion = reply.path("config").asLong();
+        long partnerVersion = number(reply, "config");
         if (partnerVersion > configuration.version()) {
             send(
                     partner,
                     "/fleet/configuration",
                     EMPTY_BODY,
-                    content -> configuration.applyIfNewer(content, partner.name()));
+                    content -> configuration.applyIfNewer(content.parse(json), partner.name()));
         } else if (partnerVersion < configuration.version()
                 && configuration.content().isPresent()) {
             byte[] content = bytes(configuration.content().get());
@@ -343,6 +385,16 @@
         }
     }
 
+    private long number(JsonSlice message, String field) throws IOException {
+        JsonSlice value =
+                message.member(field).orElseThrow(() -> new IOException("no field " + field));
+        JsonNode number = value.parse(json);
+        if (!number.isIntegralNumber() || !number.canConvertToLong()) {
+            throw new IOException(field + " is not a whole number");
+        }
+        return number.longValue();
+    }
+
     /**
      * Handles a message of another node.
      *
@@ -355,51 +407,65 @@
         try {
             return switch (path) {
                 case "/fleet/entries" -> {
-                    merge(json.readTree(body), "message");
+                    merge(JsonSlice.of(body), "message");
                     yield Optional.of(bytes(message(List.of(own))));
                 }
-                case "/fleet/digest" -> Optional.of(bytes(digestReply(json.readTree(body))));
+                case "/fleet/digest" ->
+                        Optional.of(bytes(digestReply(number(JsonSlice.of(body), "digest"))));
                 case "/fleet/configuration" -> {
                     if (body.length > 0) {
-                        configuration.applyIfNewer(json.readTree(body), "message");
+                        configuration.applyIfNewer(JsonSlice.of(body).parse(json), "message");
                     }
                     yield configuration.content().map(this::bytes);
                 }
                 default -> Optional.empty();
             };
         } catch (IOException e) {
-            log.write("malformed_message", "path", path, "cause", e.getMessage());
+            unusable.report(path, "message", e.getMessage());
             return Optional.empty();
         }
     }
 
-    private ObjectNode digestReply(JsonNode request) {
+    private ObjectNode digestReply(long digest) {
         ObjectNode reply =
-                request.path("digest").asLong() == directory.digest()
+                digest == directory.digest()
                         ? json.createObjectNode()
                         : message(List.copyOf(directory.nodes()));
         return reply.put("digest", directory.digest()).put("config", configuration.version());
     }
 
-    private void merge(JsonNode message, String source) {
-        mergeSuspects(message.path("suspects"));
-        for (JsonNode entry : message.path("entries")) {
-            NodeEntryCodec.decode(entry)
-                    .ifPresentOrElse(
-                            this::mergeEntry,
-                            () -> log.write("entry_unreadable", "source", source));
+    /** Merges each entry and each report of a message on its own; leaves out unusable ones. */
+    private void merge(JsonSlice message, String source) throws IOException {
+        for (JsonSlice report : elements(message, "suspects")) {
+            try {
+                mergeSuspect(report.parse(json));
+            } catch (IOException | IllegalArgumentException e) {
+                unusable.report("suspects", source, e.getMessage());
+            }
+        }
+        for (JsonSlice element : elements(message, "entries")) {
+            try {
+                mergeEntry(NodeEntryCodec.decode(element.parse(json), System.currentTimeMillis()));
+            } catch (IOException | IllegalArgumentException e) {
+                unusable.report("entries", source, e.getMessage());
+            }
         }
     }
 
-    private void mergeSuspects(JsonNode reports) {
-        for (JsonNode report : reports) {
-            suspects.merge(
-                    new SuspectRequests.Report(
-                            report.path("node").asText(),
-                            new RequestFingerprint(report.path("request").asLong()),
-                            report.path("crashes").asInt()),
-                    System.nanoTime());
-        }
+    private static List<JsonSlice> elements(JsonSlice message, String field) throws IOException {
+        Optional<JsonSlice> list = message.member(field);
+        return list.isPresent() ? list.get().elements() : List.of();
+    }
+
+    private void mergeSuspect(JsonNode report) {
+        suspects.merge(
+                new SuspectRequests.Report(
+                        JsonFields.text(report, "node"),
+                        new RequestFingerprint(
+                                JsonFields.wholeNumber(
+                                        report, "request", Long.MIN_VALUE, Long.MAX_VALUE)),
+                        (int) JsonFields.wholeNumber(report, "crashes", 0, MAX_CRASHES)),
+                System.nanoTime());
     }
 
     private ObjectNode message(List<NodeEntry> entries) {
@@ -418,7 +484,12 @@
         return message;
     }
 
-    private void send(NodeEntry node, String path, byte[] body, Consumer<JsonNode> onReply) {
+    /** Uses the body of a reply; an exception leaves the rest of the reply unused. */
+    private interface ReplyReader {
+        void read(JsonSlice reply) throws IOException;
+    }
+
+    private void send(NodeEntry node, String path, byte[] body, ReplyReader onReply) {
         client.send(
                 peerAddress(node),
                 "POST",
@@ -430,9 +501,9 @@
                             && response.status() == 200
                             && response.body().length > 0) {
                         try {
-                            onReply.accept(json.readTree(response.body()));
+                            onReply.read(JsonSlice.of(response.body()));
                         } catch (IOException e) {
-                            log.write("malformed_reply", "node", node.name(), "path", path);
+                            unusable.report(path, node.name(), e.getMessage());
                         }
                     }
                 });
@@ -442,9 +513,8 @@
      * Returns the address to which messages to a node are sent. All nodes receive messages on the
      * same port.
      */
-    private String peerAddress(NodeEntry node) {
-        String host = node.address().substring(0, node.address().lastIndexOf(':'));
-        return host + settings.peerListen().substring(settings.peerListen().lastIndexOf(':'));
+    private Endpoint peerAddress(NodeEntry node) {
+        return node.address().withPort(settings.peerListen().port());
     }
 
     private byte[] bytes(JsonNode message) {
--- a/src/main/java/org/azureshed/sidecar/NodeEntryCodec.java
+++ b/src/main/java/org/azureshed/sidecar/NodeEntryCodec.java
@@ -4,12 +4,23 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.azureshed.directory.Condition;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
+import org.azureshed.json.JsonFields;
+import org.azureshed.model.Endpoint;
 
 /** Converts directory entries to and from the JSON used in the store and between nodes. */
 final class NodeEntryCodec {
+    /**
+     * Incarnations are start times, so one that is further ahead than any clock error comes from
+     * another writer. Accepting it would leave a node no higher incarnation to choose.
+     */
+    private static final long MAX_INCARNATION_AHEAD_MILLIS = TimeUnit.DAYS.toMillis(366);
+
+    private static final long MAX_REVISION = 1L << 52;
+
     private NodeEntryCodec() {}
 
     static ObjectNode encode(NodeEntry entry) {
@@ -18,7 +29,7 @@
                         .objectNode()
                         .put("node", entry.name())
                         .put("az", entry.availabilityZone())
-                        .put("at", entry.address())
+                        .put("at", entry.address().toString())
                         .put("incarnation", entry.incarnation())
                         .put("revision", entry.revision());
         entry.target()
@@ -33,40 +44,34 @@
         return json;
     }
 
-    /** Decodes an entry that others wrote; empty if a field is missing or malformed. */
-    static Optional<NodeEntry> decode(JsonNode json) {
-        try {
-            Optional<TargetEntry> target =
-                    json.hasNonNull("target")
-                            ? Optional.of(decodeTarget(json.get("target")))
-                            : Optional.empty();
-            return Optional.of(
-                    new NodeEntry(
-                            text(json, "node"),
-                            text(json, "az"),
-                            text(json, "at"),
-                            json.path("incarnation").asLong(),
-                            json.path("revision").asLong(),
-                            target));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
-        }
+    /**
+     * Decodes an entry that others wrote.
+     *
+     * @param nowMillis current Unix time in milliseconds
+     * @throws IllegalArgumentException if a field is missing, malformed or out of range, or the
+     *     incarnation is far in the future; the message names it
+     */
+    static NodeEntry decode(JsonNode json, long nowMillis) {
+        Optional<TargetEntry> target =
+                json.hasNonNull("target")
+                        ? Optional.of(decodeTarget(json.get("target")))
+                        : Optional.empty();
+        return new NodeEntry(
+                JsonFields.text(json, "node"),
+                JsonFields.text(json, "az"),
+                Endpoint.parseIp(JsonFields.text(json, "at")),
+                JsonFields.wholeNumber(
+                        json, "incarnation", 0, nowMillis + MAX_INCARNATION_AHEAD_MILLIS),
+                JsonFields.wholeNumber(json, "revision", 0, MAX_REVISION),
+                target);
     }
 
     private static TargetEntry decodeTarget(JsonNode json) {
         return new TargetEntry(
-                text(json, "id"),
-                json.path("born").asLong(),
-                text(json, "service"),
-                json.path("slots").asInt(),
-                Condition.valueOf(text(json, "condition")));
-    }
-
-    private static String text(JsonNode json, String field) {
-        JsonNode value = json.get(field);
-        if (value == null || !value.isTextual()) {
-            throw new IllegalArgumentException("entry has no text field " + field);
-        }
-        return value.textValue();
+                JsonFields.text(json, "id"),
+                JsonFields.wholeNumber(json, "born", 0, Long.MAX_VALUE),
+                JsonFields.text(json, "service"),
+                (int) JsonFields.wholeNumber(json, "slots", 1, TargetEntry.MAX_SLOTS),
+                Condition.valueOf(JsonFields.text(json, "condition")));
     }
 }
--- a/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
@@ -27,6 +27,7 @@
     private final Counter hostOutcomes;
     private final Counter anomalies;
     private final Counter storeCalls;
+    private final Counter unusableEntries;
     private final Counter conditionChanges;
     private final Histogram entrySeconds;
     private final Histogram hostSeconds;
@@ -56,6 +57,11 @@
                         "condition");
         this.storeCalls =
                 counter("azureshed_store_calls", "Calls of the store by result", "result");
+        this.unusableEntries =
+                counter(
+                        "azureshed_unusable_entries",
+                        "Entries of other writers that were left out, by kind",
+                        "kind");
         this.entrySeconds =
                 histogram(
                         "azureshed_entry_request_seconds",
@@ -124,6 +130,10 @@
         log.write(cause, pairs);
     }
 
+    void unusableEntry(String kind) {
+        unusableEntries.labelValues(kind).inc();
+    }
+
     void storeCall(String result) {
         storeCalls.labelValues(result).inc();
     }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -63,7 +63,6 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final ObjectMapper json = new ObjectMapper();
     private final SidecarMetrics metrics;
     private final ConfigurationHolder configuration;
     private final ConnectionPool nodeConnections;
@@ -146,6 +145,7 @@
                         settings.targetAddress(),
                         protocol.names(),
                         metrics);
+        UnusableEntries unusable = new UnusableEntries(metrics::unusableEntry, log);
         FleetStore store = protocol.store().apply(client, metrics::storeCall);
         this.fleet =
                 new FleetSync(
@@ -158,10 +158,12 @@
                         loop,
                         configuration,
                         random.split(),
-                        json,
+                        new ObjectMapper(),
+                        unusable,
                         log);
         this.target = new LocalTarget(settings, host, fleet, loop, log);
-        this.watch = new ConfigurationWatch(store, loop, configuration, random.split(), log);
+        this.watch =
+                new ConfigurationWatch(store, loop, configuration, random.split(), unusable, log);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
         fleet.onPreviousTarget(target::restore);
--- a/src/main/java/org/azureshed/sidecar/SidecarSettings.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarSettings.java
@@ -1,5 +1,7 @@
 package org.azureshed.sidecar;
 
+import org.azureshed.model.Endpoint;
+
 /**
  * Settings of one node process.
  *
@@ -7,13 +9,13 @@
  * @param availabilityZone its availability zone
  * @param service service of the local target
  * @param advertisedIp IP address under which other nodes reach this one
- * @param targetAddress IP address and port of the local target
- * @param callerListen IP address and port on which the entry side listens
- * @param hostListen IP address and port on which the host side listens
- * @param healthListen IP address and port for health checks
- * @param heartbeatListen IP address and port for the local target's heartbeats
- * @param peerListen IP address and port for messages of other nodes and for metrics
- * @param storeAddress IP address and port of the store
+ * @param targetAddress endpoint of the local target
+ * @param callerListen endpoint on which the entry side listens
+ * @param hostListen endpoint on which the host side listens
+ * @param healthListen endpoint for health checks
+ * @param heartbeatListen endpoint for the local target's heartbeats
+ * @param peerListen endpoint for messages of other nodes and for metrics
+ * @param storeAddress endpoint of the store
  * @param heartbeatMillis interval of the local target's heartbeats
  * @param graceMillis grace period from SIGTERM to the end of the process
  * @param retryRatio retry budget of the fleet as retries per request, 0 to 1
@@ -26,13 +28,13 @@
         String availabilityZone,
         String service,
         String advertisedIp,
-        String targetAddress,
-        String callerListen,
-        String hostListen,
-        String healthListen,
-        String heartbeatListen,
-        String peerListen,
-        String storeAddress,
+        Endpoint targetAddress,
+        Endpoint callerListen,
+        Endpoint hostListen,
+        Endpoint healthListen,
+        Endpoint heartbeatListen,
+        Endpoint peerListen,
+        Endpoint storeAddress,
         long heartbeatMillis,
         long graceMillis,
         double retryRatio,
@@ -42,9 +44,9 @@
     /**
      * Returns the address to which other nodes send their offers.
      *
-     * @return IP address and port
+     * @return the advertised IP address with the port of the host side
      */
-    String advertisedHostAddress() {
-        return advertisedIp + hostListen.substring(hostListen.lastIndexOf(':'));
+    Endpoint advertisedHostAddress() {
+        return new Endpoint(advertisedIp, hostListen.port());
     }
 }
--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.azureshed.model.Endpoint;
 
 /**
  * One client connection, which carries one call at a time. It returns to the pool only when the
@@ -17,7 +18,7 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool pool;
-    private final String address;
+    private final Endpoint address;
     private Channel channel;
     private CallListener listener;
     private HttpResponse head;
@@ -34,13 +35,13 @@
     private long idleSinceNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
-    ClientConnection(ConnectionPool pool, String address, CallListener listener) {
+    ClientConnection(ConnectionPool pool, Endpoint address, CallListener listener) {
         this.pool = pool;
         this.address = address;
         this.listener = listener;
     }
 
-    String address() {
+    Endpoint address() {
         return address;
     }
 
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.model.Endpoint;
 
 /**
  * Connection pool for outgoing HTTP calls, by server address. The most recently used connection is
@@ -30,7 +31,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long maxIdleNanos;
-    private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+    private final Map<Endpoint, Deque<ClientConnection>> idle = new HashMap<>();
 
     /**
      * Creates an empty pool.
@@ -55,12 +56,12 @@
     /**
      * Starts a call on a pooled or a new connection.
      *
-     * @param address IP address and port
+     * @param address endpoint of the server, with an IP address
      * @param maxIdleForCallNanos longest time that a pooled connection may have been idle
      * @param listener receives the events of the call
      * @return the connection that carries the call; it may not be established yet
      */
-    ClientConnection acquire(String address, long maxIdleForCallNanos, CallListener listener) {
+    ClientConnection acquire(Endpoint address, long maxIdleForCallNanos, CallListener listener) {
         ClientConnection pooled = takeIdle(address, maxIdleForCallNanos);
         if (pooled != null) {
             pooled.start(listener);
@@ -99,7 +100,7 @@
         }
     }
 
-    private ClientConnection takeIdle(String address, long maxIdleForCallNanos) {
+    private ClientConnection takeIdle(Endpoint address, long maxIdleForCallNanos) {
         Deque<ClientConnection> connections = idle.get(address);
         long now = System.nanoTime();
         while (connections != null && !connections.isEmpty()) {
@@ -126,12 +127,12 @@
                 && idleNanos < connection.keepAliveNanos() * USABLE_IDLE_FRACTION;
     }
 
-    private void connect(ClientConnection connection, String address) {
+    private void connect(ClientConnection connection, Endpoint address) {
         ChannelFuture connecting =
                 bootstrap
                         .clone()
                         .handler(new Initializer(connection))
-                        .connect(SocketAddresses.parse(address));
+                        .connect(SocketOptions.address(address));
         connection.attach(connecting.channel());
         connecting.addListener(
                 done -> {
--- a/src/main/java/org/azureshed/traffic/ControlClient.java
+++ b/src/main/java/org/azureshed/traffic/ControlClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.azureshed.model.Endpoint;
 
 /**
  * HTTP client for control requests to other nodes and to the store. Bodies are held in memory;
@@ -60,7 +61,7 @@
     /**
      * Sends a request.
      *
-     * @param address IP address and port of the server
+     * @param address endpoint of the server, with an IP address
      * @param method HTTP method
      * @param path path and query
      * @param body JSON body; empty for none
@@ -68,7 +69,7 @@
      * @param done receives the result, once, on the event loop
      */
     public void send(
-            String address,
+            Endpoint address,
             String method,
             String path,
             byte[] body,
@@ -81,7 +82,7 @@
     }
 
     private final class Call implements CallListener {
-        private final String address;
+        private final Endpoint address;
         private final String method;
         private final String path;
         private final byte[] body;
@@ -93,7 +94,7 @@
         private boolean ended;
         private int status;
 
-        Call(String address, String method, String path, byte[] body, Consumer<Result> done) {
+        Call(Endpoint address, String method, String path, byte[] body, Consumer<Result> done) {
             this.address = address;
             this.method = method;
             this.path = path;
@@ -113,7 +114,7 @@
             }
             DefaultHttpRequest request =
                     new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path);
-            request.headers().set(HttpHeaderNames.HOST, address);
+            request.headers().set(HttpHeaderNames.HOST, address.toString());
             if (body.length > 0) {
                 request.headers()
                         .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -14,6 +14,7 @@
 import org.azureshed.host.HostGate;
 import org.azureshed.host.OfferedRequest;
 import org.azureshed.host.RunResult;
+import org.azureshed.model.Endpoint;
 import org.azureshed.poison.RequestFingerprint;
 
 /**
@@ -28,7 +29,7 @@
     private final Directory directory;
     private final EventLoop loop;
     private final ConnectionPool targetConnections;
-    private final String targetAddress;
+    private final Endpoint targetAddress;
     private final HeaderNames names;
     private final TrafficEvents events;
     private final Map<Long, HostExchange> exchanges = new HashMap<>();
@@ -47,7 +48,7 @@
      * @param directory known nodes, for the number of targets of a service
      * @param loop event loop of all connections
      * @param targetConnections connections to the local target
-     * @param targetAddress IP address and port of the local target
+     * @param targetAddress endpoint of the local target
      * @param names headers that targets use
      * @param events receives the outcomes
      */
@@ -56,7 +57,7 @@
             Directory directory,
             EventLoop loop,
             ConnectionPool targetConnections,
-            String targetAddress,
+            Endpoint targetAddress,
             HeaderNames names,
             TrafficEvents events) {
         this.gate = gate;
--- a/src/main/java/org/azureshed/traffic/SocketOptions.java
+++ b/src/main/java/org/azureshed/traffic/SocketOptions.java
@@ -1,10 +1,13 @@
 package org.azureshed.traffic;
 
+import com.google.common.net.InetAddresses;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
+import java.net.InetSocketAddress;
 import jdk.net.ExtendedSocketOptions;
+import org.azureshed.model.Endpoint;
 
 /** Options of all sockets. TCP keep-alive probes detect connections whose peer is gone. */
 final class SocketOptions {
@@ -19,6 +22,11 @@
 
     private SocketOptions() {}
 
+    /** Converts an endpoint whose host is an IP address; never resolves a name. */
+    static InetSocketAddress address(Endpoint endpoint) {
+        return new InetSocketAddress(InetAddresses.forUriString(endpoint.host()), endpoint.port());
+    }
+
     static ServerBootstrap server(ServerBootstrap bootstrap) {
         return bootstrap
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.function.Supplier;
+import org.azureshed.model.Endpoint;
 
 /** Opens the listeners of a node. */
 public final class TrafficServers {
@@ -23,11 +24,11 @@
      * Listens for callers.
      *
      * @param loop event loop of the connections
-     * @param address IP address and port
+     * @param address endpoint to listen on, with an IP address
      * @param service the entry side
      * @return the bound server channel
      */
-    public static Channel entry(EventLoop loop, String address, EntryService service) {
+    public static Channel entry(EventLoop loop, Endpoint address, EntryService service) {
         return listen(loop, address, () -> new EntryHandler(service));
     }
 
@@ -35,11 +36,11 @@
      * Listens for offers of requests from entry sides.
      *
      * @param loop event loop of the connections
-     * @param address IP address and port
+     * @param address endpoint to listen on, with an IP address
      * @param service the host side
      * @return the bound server channel
      */
-    public static Channel host(EventLoop loop, String address, HostService service) {
+    public static Channel host(EventLoop loop, Endpoint address, HostService service) {
         return listen(loop, address, () -> new HostHandler(service));
     }
 
@@ -47,22 +48,22 @@
      * Listens for control requests: health checks, heartbeats and messages of other nodes.
      *
      * @param loop event loop of the connections
-     * @param address IP address and port
+     * @param address endpoint to listen on, with an IP address
      * @param endpoint handles the requests
      * @return the bound server channel
      */
-    public static Channel control(EventLoop loop, String address, ControlEndpoint endpoint) {
+    public static Channel control(EventLoop loop, Endpoint address, ControlEndpoint endpoint) {
         return listen(loop, address, () -> new ControlHandler(endpoint));
     }
 
     private static Channel listen(
-            EventLoop loop, String address, Supplier<ChannelHandler> handler) {
+            EventLoop loop, Endpoint address, Supplier<ChannelHandler> handler) {
         return SocketOptions.server(
                         new ServerBootstrap()
                                 .group(loop)
                                 .channel(NioServerSocketChannel.class)
                                 .childHandler(new Initializer(handler)))
-                .bind(SocketAddresses.parse(address))
+                .bind(SocketOptions.address(address))
                 .syncUninterruptibly()
                 .channel();
     }
--- a/src/test/java/org/azureshed/directory/DirectoryTest.java
+++ b/src/test/java/org/azureshed/directory/DirectoryTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Stream;
+import org.azureshed.model.Endpoint;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -20,7 +21,7 @@
         return new NodeEntry(
                 name,
                 "az-1",
-                address,
+                Endpoint.parse(address),
                 incarnation,
                 revision,
                 Optional.of(new TargetEntry("i-" + name, 1, "shop", 4, condition)));
--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.TargetState;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -81,7 +82,8 @@
     @ParameterizedTest
     @MethodSource("sessions")
     void latestStartDeterminesTheState(List<Step> steps, String expected) {
-        TargetRegister register = new TargetRegister(ADDRESS, HEARTBEAT_TIMEOUT_NANOS);
+        TargetRegister register =
+                new TargetRegister(Endpoint.parse(ADDRESS), HEARTBEAT_TIMEOUT_NANOS);
         long now = 0;
         for (Step step : steps) {
             switch (step) {
@@ -91,7 +93,7 @@
                                         announce.id(),
                                         announce.startMillis(),
                                         announce.sequence(),
-                                        announce.address(),
+                                        Endpoint.parse(announce.address()),
                                         "shop",
                                         4,
                                         announce.state(),
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -11,6 +11,7 @@
 import org.azureshed.directory.Condition;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.RefusalReason;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -48,7 +49,7 @@
                     new NodeEntry(
                             "n" + i,
                             "az",
-                            i + ":1",
+                            new Endpoint("n" + i, 1),
                             1,
                             0,
                             Optional.of(
--- a/src/test/java/org/azureshed/dispatch/TargetHintsTest.java
+++ b/src/test/java/org/azureshed/dispatch/TargetHintsTest.java
@@ -9,6 +9,7 @@
 import org.azureshed.directory.Condition;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
+import org.azureshed.model.Endpoint;
 import org.azureshed.model.RefusalReason;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -58,6 +59,6 @@
 
     private static NodeEntry node(String name, String zone) {
         TargetEntry target = new TargetEntry("i-" + name, 1, "shop", 4, Condition.SERVING);
-        return new NodeEntry(name, zone, name + ":1", 1, 0, Optional.of(target));
+        return new NodeEntry(name, zone, new Endpoint(name, 1), 1, 0, Optional.of(target));
     }
 }
--- a/src/test/java/org/azureshed/platform/EarlyHeartbeatTest.java
+++ b/src/test/java/org/azureshed/platform/EarlyHeartbeatTest.java
@@ -43,8 +43,7 @@
 
     /** Connects as soon as the port accepts connections and sends one heartbeat. */
     private static void sendAsSoonAsPossible(SidecarFleet fleet) {
-        InetSocketAddress address =
-                new InetSocketAddress(fleet.ip(1), SidecarFleet.CONTROL_PORT);
+        InetSocketAddress address = new InetSocketAddress(fleet.ip(1), SidecarFleet.CONTROL_PORT);
         String body =
                 ProtocolRequests.heartbeat(
                         fleet.address(1, SidecarFleet.TARGET_PORT),
--- a/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
+++ b/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
@@ -39,9 +39,9 @@
     @Test
     void settingsAreReadFromTheirJsonFields() throws Exception {
         SidecarSettings settings = read(VALID);
-        assertEquals("10.0.0.1:8304", settings.callerListen());
-        assertEquals("10.0.0.1:8300", settings.hostListen());
-        assertEquals("10.0.0.1:7620", settings.peerListen());
+        assertEquals("10.0.0.1:8304", settings.callerListen().toString());
+        assertEquals("10.0.0.1:8300", settings.hostListen().toString());
+        assertEquals("10.0.0.1:7620", settings.peerListen().toString());
         assertEquals(6_000, settings.graceMillis());
         assertEquals(0.2, settings.retryRatio());
         assertEquals("10.0.0.1", settings.advertisedIp());
@@ -53,7 +53,7 @@
     void advertisedAddressComesFromTheEnvironment() throws Exception {
         SidecarSettings settings = read(VALID, Map.of("AZURESHED_ADVERTISED_IP", "10.7.0.1"));
         assertEquals("10.7.0.1", settings.advertisedIp());
-        assertEquals("10.0.0.1:8300", settings.hostListen());
+        assertEquals("10.0.0.1:8300", settings.hostListen().toString());
     }
 
     @ParameterizedTest
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import org.azureshed.model.Endpoint;
 import org.azureshed.platform.standin.ProtocolRequests;
 import org.azureshed.platform.standin.StoreStandIn;
 import org.azureshed.platform.standin.TargetStandIn;
@@ -79,6 +80,10 @@
         return ip(index) + ':' + port;
     }
 
+    private Endpoint endpoint(int index, int port) {
+        return new Endpoint(ip(index), port);
+    }
+
     static String targetId(int index) {
         return "i-" + index;
     }
@@ -106,13 +111,13 @@
                         "az-" + index % 2,
                         service,
                         ip(index),
-                        address(index, TARGET_PORT),
-                        address(index, ENTRY_PORT),
-                        address(index, HOST_PORT),
-                        address(index, HEALTH_PORT),
-                        address(index, CONTROL_PORT),
-                        address(index, PEER_PORT),
-                        store.address(),
+                        endpoint(index, TARGET_PORT),
+                        endpoint(index, ENTRY_PORT),
+                        endpoint(index, HOST_PORT),
+                        endpoint(index, HEALTH_PORT),
+                        endpoint(index, CONTROL_PORT),
+                        endpoint(index, PEER_PORT),
+                        Endpoint.parse(store.address()),
                         1_500,
                         6_000,
                         0.2,
