Read the objects of the product's own store interface one by one

Cause: HttpObjectStore mapped a whole listing at once. One object with a number beyond the parser's limit, deep nesting or a missing field failed the listing of all nodes, leases or ejection records, and a name that is no object key threw in the watching thread and ended it.

Change: each object of a listing or watch is decoded alone. Unreadable ones are logged once and named in the result, so that a lease or the preset index among them is taken for unreadable and not for missing. An exception of a handler is logged and no longer ends its watch.

Measured: HttpObjectStoreTest.oddObjectLeavesTheOthersReadable, 8 cases, passes; the old code rejects the whole listing in all of them (by reading, as the old result type has no list of unreadable names).

--- a/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
+++ b/src/main/java/org/azureshed/distribution/internal/PresetFeed.java
@@ -150,7 +150,7 @@
                 read = result.isRight();
                 if (read) {
                     version = result.get().version();
-                    report(result.get(), listed);
+                    reportSafely(result.get(), listed);
                 } else {
                     EventLog.warning("preset_watch_failed")
                             .with("error", result.getLeft().message())
@@ -163,12 +163,22 @@
         }
     }
 
+    /** An index that cannot be processed must not end the watch of the next ones. */
+    private void reportSafely(Listing listing, boolean listed) {
+        try {
+            report(listing, listed);
+        } catch (RuntimeException e) {
+            EventLog.warning("preset_refused").with("error", e).write();
+        }
+    }
+
     private void report(Listing listing, boolean listed) {
         Optional<StoredObject> newest =
                 listing.objects().stream()
                         .filter(object -> object.key().equals(PresetIndex.KEY))
                         .reduce((first, second) -> second);
-        if (newest.isEmpty() && !listed) {
+        boolean unreadable = listing.mayHideUnreadable(PresetIndex.KEY.name());
+        if (newest.isEmpty() && (!listed || unreadable)) {
             return;
         }
         if (newest.isEmpty() || newest.get().deleted()) {
--- a/src/main/java/org/azureshed/idempotency/internal/LeaseReader.java
+++ b/src/main/java/org/azureshed/idempotency/internal/LeaseReader.java
@@ -100,7 +100,9 @@
         }
         for (KeyRange range : ranges) {
             StoredObject object = found.get(range.objectKey().name());
-            if (object == null) {
+            if (object == null && listing.get().mayHideUnreadable(range.objectKey().name())) {
+                events.accept(new OwnerEvent.ReadFailed(range, KeyShell.now()));
+            } else if (object == null) {
                 submitMissing(range, sent);
             } else {
                 submitRead(range, object, sent);
--- a/src/main/java/org/azureshed/node/KindWatcher.java
+++ b/src/main/java/org/azureshed/node/KindWatcher.java
@@ -68,13 +68,30 @@
     }
 
     private Optional<Long> list() {
-        return version(store.list(kind).peek(listed));
+        return version(store.list(kind).peek(listing -> handle(() -> listed.accept(listing))));
     }
 
     private Optional<Long> watch(long since) {
         return version(
                 store.watch(kind, since, WATCH_TIMEOUT)
-                        .peek(listing -> listing.objects().forEach(changed)));
+                        .peek(
+                                listing ->
+                                        listing.objects()
+                                                .forEach(
+                                                        object ->
+                                                                handle(
+                                                                        () ->
+                                                                                changed.accept(
+                                                                                        object)))));
+    }
+
+    /** An object that cannot be processed must not end the watch of the others. */
+    private void handle(Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            EventLog.warning("object_handler_failed").with("kind", kind).with("error", e).write();
+        }
     }
 
     private Optional<Long> version(Either<StoreError, Listing> result) {
--- a/src/main/java/org/azureshed/platform/HttpObjectStore.java
+++ b/src/main/java/org/azureshed/platform/HttpObjectStore.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.apache.hc.client5.http.classic.methods.HttpDelete;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
@@ -30,6 +31,10 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.azureshed.json.JsonFields;
+import org.azureshed.json.JsonSlice;
+import org.azureshed.telemetry.EventLog;
+import org.azureshed.telemetry.UnusableEntries;
 
 /**
  * Client of the platform's object API over HTTP.
@@ -45,14 +50,19 @@
     private static final byte[] EMPTY = {};
 
     private final ObjectMapper json = new ObjectMapper();
+    private final UnusableEntries unreadable =
+            new UnusableEntries(
+                    kind -> {},
+                    (kind, name, cause) ->
+                            EventLog.warning("object_unreadable")
+                                    .with("kind", kind)
+                                    .with("name", name)
+                                    .with("cause", cause)
+                                    .write());
     private final URI base;
     private final Duration responseTimeout;
     private final CloseableHttpClient client;
 
-    /** JSON body of a listing or watch response. */
-    @JsonIgnoreProperties(ignoreUnknown = true)
-    private record WireListing(long version, List<WireObject> entries) {}
-
     /** JSON form of one object in a listing. {@code value} is Base64 on the wire. */
     @JsonIgnoreProperties(ignoreUnknown = true)
     private record WireObject(
@@ -149,7 +159,7 @@
     @Override
     public Either<StoreError, Listing> list(String kind) {
         return send(new HttpGet(uri("/objects/" + kind)), Duration.ZERO, false)
-                .flatMap(this::listing);
+                .flatMap(response -> listing(kind, response));
     }
 
     @Override
@@ -160,7 +170,7 @@
                         response ->
                                 response.status() == 410
                                         ? Either.left(new StoreError.Compacted(sinceVersion))
-                                        : listing(response));
+                                        : listing(kind, response));
     }
 
     /** Closes all connections. Calls in flight fail. */
@@ -200,31 +210,65 @@
         return new StoredObject(key, response.version(), value, false, response.serverTimeMillis());
     }
 
-    private Either<StoreError, Listing> listing(Response response) {
+    private Either<StoreError, Listing> listing(String kind, Response response) {
         if (response.status() != 200) {
             return Either.left(failure(response, false));
         }
         try {
-            WireListing wire = json.readValue(response.body(), WireListing.class);
-            List<StoredObject> objects =
-                    wire.entries().stream()
-                            .map(object -> storedObject(object, response.serverTimeMillis()))
-                            .toList();
-            return Either.right(new Listing(wire.version(), objects));
-        } catch (IOException e) {
+            JsonSlice listing = JsonSlice.of(response.body());
+            long version =
+                    JsonFields.wholeNumber(
+                            json.createObjectNode()
+                                    .set("version", member(listing, "version").parse(json)),
+                            "version",
+                            0,
+                            Long.MAX_VALUE);
+            List<StoredObject> objects = new ArrayList<>();
+            List<String> unreadableNames = new ArrayList<>();
+            for (JsonSlice entry : member(listing, "entries").elements()) {
+                try {
+                    objects.add(storedObject(entry, response.serverTimeMillis()));
+                } catch (IOException | IllegalArgumentException e) {
+                    String name = name(entry);
+                    unreadableNames.add(name);
+                    unreadable.report(kind, name, e.getMessage());
+                }
+            }
+            return Either.right(new Listing(version, objects, unreadableNames));
+        } catch (IOException | IllegalArgumentException e) {
             return Either.left(new StoreError.Unavailable("malformed listing: " + e.getMessage()));
         }
     }
 
-    private static StoredObject storedObject(WireObject object, long serverTimeMillis) {
+    private StoredObject storedObject(JsonSlice entry, long serverTimeMillis) throws IOException {
+        WireObject object = json.treeToValue(entry.parse(json), WireObject.class);
+        if (object == null
+                || object.kind() == null
+                || object.name() == null
+                || object.value() == null && !object.deleted()) {
+            throw new IOException("a field of the object is missing");
+        }
         return new StoredObject(
                 new ObjectKey(object.kind(), object.name()),
                 object.version(),
-                object.value(),
+                object.value() == null ? EMPTY : object.value(),
                 object.deleted(),
                 serverTimeMillis);
     }
 
+    private static JsonSlice member(JsonSlice object, String name) throws IOException {
+        return object.member(name).orElseThrow(() -> new IOException("no field " + name));
+    }
+
+    /** Returns the name of an object that is otherwise unreadable; empty if the name is, too. */
+    private String name(JsonSlice entry) {
+        try {
+            return member(entry, "name").parse(json).asText();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     private static StoreError failure(Response response, boolean write) {
         String detail = "status " + response.status();
         return switch (response.status()) {
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.telemetry.UnusableEntries;
 
 /** Loads the configuration from the store and then watches it until the process ends. */
 final class ConfigurationWatch {
@@ -69,7 +70,7 @@
 
     private void listed(FleetStore.Result.Done done) {
         onStoreReachable();
-        unusable.report(done);
+        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
         done.entries().stream()
                 .filter(entry -> entry.name().equals(NAME))
                 .forEach(entry -> holder.applyIfNewer(entry.content(), "store"));
@@ -90,7 +91,11 @@
                     switch (result) {
                         case FleetStore.Result.Done done -> {
                             onStoreReachable();
-                            unusable.report(done);
+                            done.unreadable()
+                                    .forEach(
+                                            odd ->
+                                                    unusable.report(
+                                                            odd.kind(), odd.name(), odd.cause()));
                             done.entries().stream()
                                     .filter(entry -> entry.name().equals(NAME))
                                     .filter(entry -> !entry.removed())
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -22,6 +22,7 @@
 import org.azureshed.model.Endpoint;
 import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.telemetry.UnusableEntries;
 import org.azureshed.traffic.ControlClient;
 
 /**
@@ -260,7 +261,7 @@
             }
             return;
         }
-        unusable.report(done);
+        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
         boolean changed = false;
         for (FleetStore.StoredEntry stored : done.entries()) {
             Optional<NodeEntry> entry = decode(stored);
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -20,6 +20,7 @@
 import org.azureshed.host.HostGate;
 import org.azureshed.host.RetryBudgetShare;
 import org.azureshed.telemetry.DecisionLog;
+import org.azureshed.telemetry.UnusableEntries;
 import org.azureshed.traffic.ConnectionPool;
 import org.azureshed.traffic.ControlClient;
 import org.azureshed.traffic.ControlEndpoint;
@@ -145,7 +146,18 @@
                         settings.targetAddress(),
                         protocol.names(),
                         metrics);
-        UnusableEntries unusable = new UnusableEntries(metrics::unusableEntry, log);
+        UnusableEntries unusable =
+                new UnusableEntries(
+                        metrics::unusableEntry,
+                        (kind, name, cause) ->
+                                log.write(
+                                        "entry_unusable",
+                                        "kind",
+                                        kind,
+                                        "name",
+                                        name,
+                                        "cause",
+                                        cause));
         FleetStore store = protocol.store().apply(client, metrics::storeCall);
         this.fleet =
                 new FleetSync(
--- a/src/test/java/org/azureshed/ejection/internal/EjectionShellTest.java
+++ b/src/test/java/org/azureshed/ejection/internal/EjectionShellTest.java
@@ -225,7 +225,7 @@
 
         @Override
         public Either<StoreError, Listing> list(String kind) {
-            return Either.right(new Listing(0, new ArrayList<>(objects.values())));
+            return Either.right(new Listing(0, new ArrayList<>(objects.values()), List.of()));
         }
 
         @Override
--- a/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
+++ b/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
@@ -5,19 +5,24 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.net.httpserver.HttpServer;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.azureshed.standin.PlatformStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Checks the result that the client reports for each fault of the platform. */
 class HttpObjectStoreTest {
@@ -157,6 +162,67 @@
         return text.getBytes();
     }
 
+    /**
+     * Objects that another writer may leave in a listing; the JSON parser rejects the first two.
+     */
+    static Stream<String> oddObjects() {
+        String value = "\"value\":\"YQ==\",\"deleted\":false";
+        return Stream.of(
+                "{\"kind\":\"thing\",\"name\":\"odd\",\"version\":"
+                        + "9".repeat(1_200)
+                        + ","
+                        + value
+                        + "}",
+                "{\"kind\":\"thing\",\"name\":\"odd\",\"x\":"
+                        + "[".repeat(5_000)
+                        + "]".repeat(5_000)
+                        + ","
+                        + value
+                        + "}",
+                "{\"kind\":\"thing\",\"name\":\"odd/er\",\"version\":3," + value + "}",
+                "{\"kind\":\"thing\",\"version\":3," + value + "}",
+                "{\"kind\":\"thing\",\"name\":\"odd\",\"version\":3,\"deleted\":false}",
+                "{\"kind\":\"thing\",\"name\":\"odd\",\"version\":3,\"value\":\"*\"}",
+                "null",
+                "[7]");
+    }
+
+    /**
+     * Guards against a listing that fails as a whole because of one odd object, and against an odd
+     * object that is taken for missing.
+     */
+    @ParameterizedTest
+    @MethodSource("oddObjects")
+    void oddObjectLeavesTheOthersReadable(String odd) throws Exception {
+        String good =
+                "{\"kind\":\"thing\",\"name\":\"one\",\"version\":2,\"value\":\"YQ==\","
+                        + "\"deleted\":false}";
+        byte[] body = bytes("{\"version\":4,\"entries\":[" + odd + "," + good + "]}");
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.createContext(
+                "/",
+                exchange -> {
+                    exchange.sendResponseHeaders(200, body.length);
+                    exchange.getResponseBody().write(body);
+                    exchange.close();
+                });
+        server.start();
+        URI uri = URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+        try (HttpObjectStore odds = new HttpObjectStore(uri)) {
+            for (Listing listing :
+                    List.of(
+                            odds.list("thing").get(),
+                            odds.watch("thing", 1, Duration.ofMillis(10)).get())) {
+                assertEquals(4, listing.version());
+                assertEquals(
+                        List.of(KEY), listing.objects().stream().map(StoredObject::key).toList());
+                assertEquals(1, listing.unreadable().size());
+            }
+        } finally {
+            server.stop(0);
+        }
+    }
+
     private void faults(String json) throws Exception {
         HttpRequest request =
                 HttpRequest.newBuilder(platform.uri().resolve("/faults"))
