Bound bytes without end, and contain unexpected exceptions

Cause, found by tests over whole nodes: - an exception in a handler of the event loop closed the caller's connection without an answer, ended the configuration watch for good, or left a heartbeat unanswered, without a log line; - a request head that trickles in was ended by the idle timeout of 15 s only; - single bytes on an idle pooled connection stayed in the decoder and became the beginning of the next response; - bodies at the host side, late responses that are skipped and interim responses had no bound, and a control response could take 16 MB.

Change: exceptions are counted (azureshed_unexpected_errors), logged and end one request, message or run of a task; a caller gets 500, a control request 500; the watch starts again. The header timeout runs from the first byte. Bytes on an idle connection close it before they are decoded. Bounds are named constants. A wait in a refusal is parsed safely.

--- a/src/main/java/org/azureshed/model/RefusalReason.java
+++ b/src/main/java/org/azureshed/model/RefusalReason.java
@@ -7,6 +7,7 @@
     NO_TARGET(503, true, "no target of the service is ready; check that its targets announce"),
     BAD_FRAMING(400, false, "the request's framing is ambiguous; send one length"),
     HEADER_LIMIT(431, false, "the request has too many or too large headers; send fewer"),
+    HEADER_TOO_SLOW(408, false, "the request head arrived too slowly; send it again"),
     BODY_LIMIT(413, false, "the request body is too large; send a smaller one"),
     BODY_TOO_SLOW(408, false, "the request body arrived too slowly; send it again"),
     BAD_HEADER(400, false, "a request header is malformed; correct it"),
@@ -37,6 +38,7 @@
     KEY_REUSED(422, false, "the key was used with other content; use a new key"),
     KEY_OWNER_UNAVAILABLE(503, true, "the owner of the key range is unavailable; send again"),
     KEY_RECORDS_FULL(503, true, "the owner of the key range is full; wait and send again"),
+    INTERNAL_ERROR(500, false, "an unexpected error ended the request; report the log line"),
     POISON_REQUEST(
             422, false, "targets crashed each time the request ran; change it before sending");
 
--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /**
@@ -29,6 +30,7 @@
     private final ServerSocket server;
     private final List<Request> executions = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger endlessResponses = new AtomicInteger();
     private volatile Function<Request, Behaviour> behaviour;
 
     /**
@@ -79,6 +81,15 @@
          */
         record Twice(String body) implements Behaviour {}
 
+        /**
+         * Runs the request, sends bytes without end and stops only when the caller closes.
+         *
+         * @param prefix sent once, ASCII; {@code ID} is replaced by the request identifier
+         * @param repeated sent again and again, ASCII
+         * @param pauseMillis pause after each repetition in ms; 0 to send as fast as possible
+         */
+        record Endless(String prefix, String repeated, long pauseMillis) implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -127,6 +138,15 @@
         return executions;
     }
 
+    /**
+     * Counts the responses without end that callers have not ended yet.
+     *
+     * @return 0 if no connection carries such a response
+     */
+    public int endlessResponses() {
+        return endlessResponses.get();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -199,11 +219,26 @@
                 String answer = completeResponse(request, 200, twice.body());
                 write(out, answer + answer);
             }
+            case Behaviour.Endless endless -> sendEndlessly(endless, request, out);
             default -> TimeUnit.SECONDS.sleep(30);
         }
         return true;
     }
 
+    private void sendEndlessly(Behaviour.Endless endless, Request request, OutputStream out)
+            throws IOException, InterruptedException {
+        endlessResponses.incrementAndGet();
+        try {
+            write(out, endless.prefix().replace("ID", request.requestId()));
+            while (true) {
+                write(out, endless.repeated());
+                TimeUnit.MILLISECONDS.sleep(endless.pauseMillis());
+            }
+        } finally {
+            endlessResponses.decrementAndGet();
+        }
+    }
+
     private static String completeResponse(Request request, int status, String body) {
         return "HTTP/1.1 "
                 + status
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.telemetry.UnusableEntries;
+import org.azureshed.traffic.TrafficEvents;
 
 /** Loads the configuration from the store and then watches it until the process ends. */
 final class ConfigurationWatch {
@@ -28,6 +30,7 @@
     private final ConfigurationHolder holder;
     private final Backoff backoff;
     private final UnusableEntries unusable;
+    private final TrafficEvents events;
     private final DecisionLog log;
     private boolean reachable = true;
 
@@ -37,12 +40,14 @@
             ConfigurationHolder holder,
             SplittableRandom random,
             UnusableEntries unusable,
+            TrafficEvents events,
             DecisionLog log) {
         this.store = store;
         this.loop = loop;
         this.holder = holder;
         this.backoff = new Backoff(random);
         this.unusable = unusable;
+        this.events = events;
         this.log = log;
     }
 
@@ -60,12 +65,13 @@
                 KIND,
                 after,
                 false,
-                result -> {
-                    switch (result) {
-                        case FleetStore.Result.Done done -> listed(done);
-                        default -> retry(result, this::start);
-                    }
-                });
+                guarded(
+                        result -> {
+                            switch (result) {
+                                case FleetStore.Result.Done done -> listed(done);
+                                default -> retry(result, this::start);
+                            }
+                        }));
     }
 
     private void listed(FleetStore.Result.Done done) {
@@ -87,32 +93,58 @@
                 KIND,
                 revision,
                 WAIT_MILLIS,
-                result -> {
-                    switch (result) {
-                        case FleetStore.Result.Done done -> {
-                            onStoreReachable();
-                            done.unreadable()
-                                    .forEach(
-                                            odd ->
-                                                    unusable.report(
-                                                            odd.kind(), odd.name(), odd.cause()));
-                            done.entries().stream()
-                                    .filter(entry -> entry.name().equals(NAME))
-                                    .filter(entry -> !entry.removed())
-                                    .forEach(
-                                            entry -> holder.applyIfNewer(entry.content(), "watch"));
-                            long next = Math.max(revision, done.revision());
-                            loop.schedule(
-                                    () -> watch(next), WATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-                        }
-                        case FleetStore.Result.HistoryGone ignored -> {
-                            log.write("watch_history_gone", "kind", KIND, "revision", revision);
-                            loop.schedule(this::start, backoff.next(), TimeUnit.MILLISECONDS);
-                        }
-                        // Changes may have been missed; listing returns the current content.
-                        default -> retry(result, this::start);
-                    }
-                });
+                guarded(
+                        result -> {
+                            switch (result) {
+                                case FleetStore.Result.Done done -> {
+                                    onStoreReachable();
+                                    done.unreadable()
+                                            .forEach(
+                                                    odd ->
+                                                            unusable.report(
+                                                                    odd.kind(),
+                                                                    odd.name(),
+                                                                    odd.cause()));
+                                    done.entries().stream()
+                                            .filter(entry -> entry.name().equals(NAME))
+                                            .filter(entry -> !entry.removed())
+                                            .forEach(
+                                                    entry ->
+                                                            holder.applyIfNewer(
+                                                                    entry.content(), "watch"));
+                                    long next = Math.max(revision, done.revision());
+                                    loop.schedule(
+                                            () -> watch(next),
+                                            WATCH_DELAY_MILLIS,
+                                            TimeUnit.MILLISECONDS);
+                                }
+                                case FleetStore.Result.HistoryGone ignored -> {
+                                    log.write(
+                                            "watch_history_gone",
+                                            "kind",
+                                            KIND,
+                                            "revision",
+                                            revision);
+                                    loop.schedule(
+                                            this::start, backoff.next(), TimeUnit.MILLISECONDS);
+                                }
+                                // Changes may have been missed; listing returns the current
+                                // content.
+                                default -> retry(result, this::start);
+                            }
+                        }));
+    }
+
+    /** After an exception the watch starts again; it must not end while the process runs. */
+    private Consumer<FleetStore.Result> guarded(Consumer<FleetStore.Result> handler) {
+        return result -> {
+            try {
+                handler.accept(result);
+            } catch (RuntimeException e) {
+                events.unexpected("configuration_watch", e);
+                loop.schedule(this::start, backoff.next(), TimeUnit.MILLISECONDS);
+            }
+        };
     }
 
     private void onStoreReachable() {
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -24,6 +24,7 @@
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.telemetry.UnusableEntries;
 import org.azureshed.traffic.ControlClient;
+import org.azureshed.traffic.TrafficEvents;
 
 /**
  * Replicates the directory to all nodes. Each node writes its own entry to the store and then lists
@@ -66,6 +67,7 @@
     private final DecisionLog log;
     private final ObjectMapper json;
     private final UnusableEntries unusable;
+    private final TrafficEvents events;
     private final Backoff writeBackoff;
     private final List<Runnable> afterWrite = new ArrayList<>();
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
@@ -89,6 +91,7 @@
             SplittableRandom random,
             ObjectMapper json,
             UnusableEntries unusable,
+            TrafficEvents events,
             DecisionLog log) {
         this.settings = settings;
         this.directory = directory;
@@ -100,6 +103,7 @@
         this.random = random;
         this.json = json;
         this.unusable = unusable;
+        this.events = events;
         this.log = log;
         this.writeBackoff = new Backoff(random.split());
         this.own =
@@ -245,7 +249,19 @@
     }
 
     private void list(String after) {
-        store.list(KIND, after, false, result -> onListing(result, after, false));
+        store.list(
+                KIND,
+                after,
+                false,
+                result -> {
+                    try {
+                        onListing(result, after, false);
+                    } catch (RuntimeException e) {
+                        events.unexpected("node_listing", e);
+                        loop.schedule(
+                                () -> list(after), writeBackoff.next(), TimeUnit.MILLISECONDS);
+                    }
+                });
     }
 
     private void listPeriodically() {
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -8,6 +8,7 @@
 import org.azureshed.model.TargetState;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.HostService;
+import org.azureshed.traffic.TrafficEvents;
 
 /**
  * Tracks the target beside this node by its heartbeats and acknowledges them. A departure, or a
@@ -29,6 +30,7 @@
     private final HostService host;
     private final FleetSync fleet;
     private final EventLoop loop;
+    private final TrafficEvents events;
     private final DecisionLog log;
 
     LocalTarget(
@@ -36,6 +38,7 @@
             HostService host,
             FleetSync fleet,
             EventLoop loop,
+            TrafficEvents events,
             DecisionLog log) {
         long silenceNanos =
                 TimeUnit.MILLISECONDS.toNanos(settings.heartbeatMillis() * MAX_MISSED_HEARTBEATS);
@@ -43,11 +46,16 @@
         this.host = host;
         this.fleet = fleet;
         this.loop = loop;
+        this.events = events;
         this.log = log;
     }
 
     void start() {
-        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                events.guarded("target_tick", this::tick),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Restores the target entry that a previous process of this node had published. */
--- a/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
@@ -26,6 +26,7 @@
     private final Counter entryOutcomes;
     private final Counter hostOutcomes;
     private final Counter anomalies;
+    private final Counter unexpectedErrors;
     private final Counter storeCalls;
     private final Counter unusableEntries;
     private final Counter conditionChanges;
@@ -55,6 +56,11 @@
                         "azureshed_target_judgements",
                         "Changes of the judgement of the local target by new condition",
                         "condition");
+        this.unexpectedErrors =
+                counter(
+                        "azureshed_unexpected_errors",
+                        "Exceptions that ended one request, message or task, by place",
+                        "where");
         this.storeCalls =
                 counter("azureshed_store_calls", "Calls of the store by result", "result");
         this.unusableEntries =
@@ -130,6 +136,20 @@
         log.write(cause, pairs);
     }
 
+    @Override
+    public void unexpected(String where, Throwable error) {
+        unexpectedErrors.labelValues(where).inc();
+        StackTraceElement[] trace = error.getStackTrace();
+        log.write(
+                "unexpected_error",
+                "where",
+                where,
+                "cause",
+                error,
+                "at",
+                trace.length == 0 ? "" : trace[0]);
+    }
+
     void unusableEntry(String kind) {
         unusableEntries.labelValues(kind).inc();
     }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -109,10 +109,11 @@
         SplittableRandom random =
                 new SplittableRandom(incarnation ^ (long) settings.node().hashCode() << 32);
         this.metrics = new SidecarMetrics(log);
-        this.nodeConnections = new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS);
+        this.nodeConnections =
+                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS, metrics);
         this.targetConnections =
-                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, TARGET_IDLE_MILLIS);
-        ControlClient client = new ControlClient(loop, nodeConnections);
+                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, TARGET_IDLE_MILLIS, metrics);
+        ControlClient client = new ControlClient(loop, nodeConnections, metrics);
         Directory directory = new Directory();
         SuspectRequests suspects = new SuspectRequests();
         HostGate gate =
@@ -172,10 +173,12 @@
                         random.split(),
                         new ObjectMapper(),
                         unusable,
+                        metrics,
                         log);
-        this.target = new LocalTarget(settings, host, fleet, loop, log);
+        this.target = new LocalTarget(settings, host, fleet, loop, metrics, log);
         this.watch =
-                new ConfigurationWatch(store, loop, configuration, random.split(), unusable, log);
+                new ConfigurationWatch(
+                        store, loop, configuration, random.split(), unusable, metrics, log);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
         fleet.onPreviousTarget(target::restore);
@@ -197,14 +200,17 @@
                             target.start();
                         })
                 .syncUninterruptibly();
-        TrafficServers.control(loop, settings.healthListen(), this::health);
+        TrafficServers.control(loop, settings.healthListen(), this::health, metrics);
         TrafficServers.control(
-                loop, settings.heartbeatListen(), protocol.heartbeats().apply(target));
-        TrafficServers.control(loop, settings.peerListen(), this::peerCall);
+                loop, settings.heartbeatListen(), protocol.heartbeats().apply(target), metrics);
+        TrafficServers.control(loop, settings.peerListen(), this::peerCall, metrics);
         TrafficServers.host(loop, settings.hostListen(), host);
         callerListener = TrafficServers.entry(loop, settings.callerListen(), entry);
         loop.scheduleAtFixedRate(
-                this::closeIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                metrics.guarded("idle_check", this::closeIdle),
+                IDLE_CHECK_MILLIS,
+                IDLE_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
         log.write(
                 "started",
                 "service",
@@ -222,7 +228,8 @@
      * @param task the task; it must not block for long
      */
     public void every(long millis, Runnable task) {
-        loop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                metrics.guarded("periodic_task", task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -1,6 +1,7 @@
 package org.azureshed.traffic;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import org.azureshed.model.Endpoint;
 
 /**
@@ -17,6 +19,12 @@
  * request was written and the response received completely, and no other bytes arrived.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+    /** Interim responses to one request; a host side sends at most two. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
+    /** Bytes of late responses to earlier requests that are skipped before the connection ends. */
+    private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
     private final ConnectionPool pool;
     private final Endpoint address;
     private Channel channel;
@@ -32,6 +40,8 @@
     private boolean requestWritten;
     private boolean connectionReset;
     private boolean releasePending;
+    private int interimResponses;
+    private long skippedBytes;
     private long idleSinceNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
@@ -67,6 +77,8 @@
         head = null;
         skippingResponse = false;
         requestWritten = false;
+        interimResponses = 0;
+        skippedBytes = 0;
         next.connected();
     }
 
@@ -116,14 +128,37 @@
         listener.connected();
     }
 
+    /**
+     * Returns a handler for the bytes before they are decoded. Bytes on an idle connection belong
+     * to no call; the decoder would keep them until they form a message, and then prefix the
+     * response of a later call with them.
+     */
+    ChannelHandler idleGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (listener == null && channel == context.channel()) {
+                    ReferenceCountUtil.release(message);
+                    closeUnsolicited();
+                } else {
+                    context.fireChannelRead(message);
+                }
+            }
+        };
+    }
+
+    private void closeUnsolicited() {
+        releasePending = false;
+        pool.discard(this);
+        close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (listener == null) {
-                // Unsolicited bytes: they must not be taken for the response of a later call.
-                releasePending = false;
-                pool.discard(this);
-                close();
+                // The rest of a read batch that began with the end of a response.
+                closeUnsolicited();
                 return;
             }
             read(message);
@@ -141,7 +176,13 @@
             onHead(response);
         }
         if (message instanceof HttpContent content && head != null) {
-            if (!skippingResponse && content.content().isReadable()) {
+            if (skippingResponse) {
+                skippedBytes += content.content().readableBytes();
+                if (skippedBytes > MAX_SKIPPED_BYTES) {
+                    fail(CallFailure.MALFORMED);
+                    return;
+                }
+            } else if (content.content().isReadable()) {
                 listener.content(content.content());
             }
             if (message instanceof LastHttpContent && listener != null) {
@@ -152,7 +193,12 @@
 
     private void onHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            listener.informational(response.status().code());
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                fail(CallFailure.MALFORMED);
+            } else {
+                listener.informational(response.status().code());
+            }
             return;
         }
         head = response;
@@ -192,6 +238,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            pool.events().unexpected("outgoing_call", cause);
+        }
         // A reset must not count as the regular end of a response without a length.
         connectionReset = true;
         context.close();
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -29,6 +29,7 @@
     private static final double USABLE_IDLE_FRACTION = 0.6;
 
     private final EventLoop loop;
+    private final TrafficEvents events;
     private final Bootstrap bootstrap;
     private final long maxIdleNanos;
     private final Map<Endpoint, Deque<ClientConnection>> idle = new HashMap<>();
@@ -39,9 +40,12 @@
      * @param loop event loop of all connections
      * @param connectTimeoutMillis timeout of establishing a connection
      * @param maxIdleMillis time after which an idle connection is not reused
+     * @param events receives exceptions of the connections' listeners
      */
-    public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long maxIdleMillis) {
+    public ConnectionPool(
+            EventLoop loop, int connectTimeoutMillis, long maxIdleMillis, TrafficEvents events) {
         this.loop = loop;
+        this.events = events;
         this.maxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
         this.bootstrap =
                 SocketOptions.client(
@@ -72,6 +76,10 @@
         return connection;
     }
 
+    TrafficEvents events() {
+        return events;
+    }
+
     void release(ClientConnection connection) {
         connection.idleSince(System.nanoTime());
         idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).addFirst(connection);
@@ -152,6 +160,7 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
+                    .addLast(connection.idleGuard())
                     .addLast(new HttpRequestEncoder())
                     .addLast(
                             new HttpResponseDecoder(
--- a/src/main/java/org/azureshed/traffic/ControlClient.java
+++ b/src/main/java/org/azureshed/traffic/ControlClient.java
@@ -23,10 +23,12 @@
  * }</pre>
  */
 public final class ControlClient {
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    /** A page of the store has about 1 MB, and the entries of 2,400 nodes less than that. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
 
     private final EventLoop loop;
     private final ConnectionPool connections;
+    private final TrafficEvents events;
 
     /** How a call ended. */
     public sealed interface Result {
@@ -52,10 +54,12 @@
      *
      * @param loop event loop of the connections
      * @param connections pool of the connections
+     * @param events receives exceptions of the receivers of results
      */
-    public ControlClient(EventLoop loop, ConnectionPool connections) {
+    public ControlClient(EventLoop loop, ConnectionPool connections, TrafficEvents events) {
         this.loop = loop;
         this.connections = connections;
+        this.events = events;
     }
 
     /**
@@ -163,7 +167,11 @@
             if (!ended) {
                 ended = true;
                 timeout.run();
-                done.accept(result);
+                try {
+                    done.accept(result);
+                } catch (RuntimeException e) {
+                    events.unexpected("control_response", e);
+                }
             }
         }
     }
--- a/src/main/java/org/azureshed/traffic/ControlHandler.java
+++ b/src/main/java/org/azureshed/traffic/ControlHandler.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * One connection for control requests. A request must not follow before the reply to the previous
@@ -24,12 +26,19 @@
     /** The list of all nodes of a large fleet and a large configuration stay below this limit. */
     private static final int MAX_BODY_BYTES = 8 << 20;
 
+    /** A connection keeps a buffer of this size between requests. */
+    private static final int KEPT_BUFFER_BYTES = 64 << 10;
+
+    private static final int INTERNAL_SERVER_ERROR = 500;
+
     private final ControlEndpoint endpoint;
+    private final TrafficEvents events;
     private final ByteBuf body = Unpooled.buffer(0);
     private HttpRequest request;
 
-    ControlHandler(ControlEndpoint endpoint) {
+    ControlHandler(ControlEndpoint endpoint, TrafficEvents events) {
         this.endpoint = endpoint;
+        this.events = events;
     }
 
     @Override
@@ -42,6 +51,9 @@
             if (message instanceof HttpRequest head) {
                 request = head;
                 body.clear();
+                if (body.capacity() > KEPT_BUFFER_BYTES) {
+                    body.capacity(0);
+                }
             }
             if (message instanceof HttpContent content) {
                 onContent(context, content);
@@ -59,11 +71,23 @@
         body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             boolean keep = HttpUtil.isKeepAlive(request);
-            endpoint.handle(
-                    request.method().name(),
-                    request.uri(),
-                    ByteBufUtil.getBytes(body),
-                    reply -> write(context, reply, keep));
+            AtomicBoolean replied = new AtomicBoolean();
+            try {
+                endpoint.handle(
+                        request.method().name(),
+                        request.uri(),
+                        ByteBufUtil.getBytes(body),
+                        reply -> {
+                            if (replied.compareAndSet(false, true)) {
+                                write(context, reply, keep);
+                            }
+                        });
+            } catch (RuntimeException e) {
+                events.unexpected("control_request", e);
+                if (replied.compareAndSet(false, true)) {
+                    write(context, ControlEndpoint.Reply.of(INTERNAL_SERVER_ERROR), false);
+                }
+            }
         }
     }
 
@@ -86,6 +110,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            events.unexpected("control_connection", cause);
+        }
         context.close();
     }
 }
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -1,5 +1,6 @@
 package org.azureshed.traffic;
 
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -29,6 +30,9 @@
     /** Larger answers are streamed to the caller; a failure can then no longer be retried. */
     private static final int MAX_BUFFERED_ANSWER_BYTES = 1 << 20;
 
+    /** Longer than any queue; keeps arithmetic on waits in range. */
+    private static final long MAX_WAIT_MILLIS = 3_600_000;
+
     private final EntryExchange exchange;
     private final int number;
     private final NodeEntry node;
@@ -242,10 +246,10 @@
     }
 
     private HostRefusal parseRefusal(String reason) {
-        String wait = response.headers().get(OutcomeHeaders.WAIT, "0");
+        Long waitMillis = Longs.tryParse(response.headers().get(OutcomeHeaders.WAIT, "0"));
         return new HostRefusal(
                 RefusalReason.parse(reason).orElse(RefusalReason.NODE_OVERLOADED),
-                wait.chars().allMatch(Character::isDigit) ? Long.parseLong(wait) : 0,
+                waitMillis == null ? 0 : Math.clamp(waitMillis, 0, MAX_WAIT_MILLIS),
                 response.headers().contains(OutcomeHeaders.SUSPECT));
     }
 
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -137,6 +137,15 @@
     }
 
     void start() {
+        try {
+            begin();
+        } catch (RuntimeException e) {
+            service.events().unexpected("caller_request", e);
+            failUnexpectedly();
+        }
+    }
+
+    private void begin() {
         retryInduced = service.localTargetRunsRetry();
         service.requestStarted();
         Optional<TrafficConfiguration> configuration = service.configuration();
@@ -196,11 +205,31 @@
         if (done || deliveredAttempt != null) {
             return;
         }
-        List<ExchangeEffect> effects = exchange.handle(event, System.nanoTime());
-        for (ExchangeEffect effect : effects) {
-            if (!done) {
-                execute(effect);
+        try {
+            List<ExchangeEffect> effects = exchange.handle(event, System.nanoTime());
+            for (ExchangeEffect effect : effects) {
+                if (!done) {
+                    execute(effect);
+                }
             }
+        } catch (RuntimeException e) {
+            service.events().unexpected("caller_request", e);
+            failUnexpectedly();
+        }
+    }
+
+    /**
+     * Ends the request after an unexpected error. The status promises nothing, as an attempt may
+     * have run the request.
+     */
+    void failUnexpectedly() {
+        if (done) {
+            return;
+        }
+        if (deliveredAttempt == null) {
+            fail(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "internal-error");
+        } else {
+            finish("truncated", 0, false);
         }
     }
 
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -16,8 +16,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +52,11 @@
     private ScheduledFuture<?> timer;
     private boolean closing;
 
+    /** Whether bytes arrived since the last read of a complete message part. */
+    private boolean bytesArrived;
+
+    private boolean headTimerRunning;
+
     EntryHandler(EntryService service) {
         this.service = service;
     }
@@ -57,6 +64,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        added.pipeline().addFirst(new ArrivalListener());
         service.connected(this);
         awaitRequest();
     }
@@ -75,6 +83,33 @@
         }
     }
 
+    /**
+     * Tells the arrival of bytes, of which the decoder reports nothing until a head is complete.
+     */
+    private final class ArrivalListener extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext own, Object message) {
+            // Line ends between requests are allowed and begin no head.
+            if (message instanceof ByteBuf bytes
+                    && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
+                bytesArrived = true;
+            }
+            own.fireChannelRead(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        boolean headBegun = bytesArrived && head == null && exchange == null && !closing;
+        bytesArrived = false;
+        if (headBegun && !headTimerRunning) {
+            schedule(
+                    limits().headerTimeoutMillis(),
+                    () -> refuseWhileReading(RefusalReason.HEADER_TOO_SLOW));
+            headTimerRunning = true;
+        }
+    }
+
     private void handle(Object message) {
         try {
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -94,6 +129,7 @@
 
     private void onHead(HttpRequest request) {
         head = request;
+        headTimerRunning = false;
         headNanos = System.nanoTime();
         body = context.alloc().buffer();
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -164,6 +200,7 @@
     }
 
     private void awaitRequest() {
+        headTimerRunning = false;
         schedule(limits().idleTimeoutMillis(), () -> context.close());
     }
 
@@ -236,6 +273,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
-        context.close();
+        if (cause instanceof IOException) {
+            context.close();
+            return;
+        }
+        service.events().unexpected("caller_connection", cause);
+        if (exchange != null) {
+            exchange.failUnexpectedly();
+        } else if (!closing) {
+            refuseWhileReading(RefusalReason.INTERNAL_ERROR);
+        }
     }
 }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -132,6 +132,11 @@
         if (done) {
             return;
         }
+        if (!service.reserveBodyBytes(part.readableBytes())) {
+            context.close();
+            finish("body-limit", RunResult.NEUTRAL);
+            return;
+        }
         body.writeBytes(part);
         if (last && admitted) {
             bodyComplete = true;
@@ -396,6 +401,7 @@
         if (timer != null) {
             timer.cancel(false);
         }
+        service.releaseBodyBytes(body.readableBytes());
         body.release();
         long now = System.nanoTime();
         long runNanos = runStartNanos == 0 ? 0 : now - runStartNanos;
--- a/src/main/java/org/azureshed/traffic/HostHandler.java
+++ b/src/main/java/org/azureshed/traffic/HostHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 
 /** One connection from an entry side, which offers one request at a time. */
 final class HostHandler extends ChannelInboundHandlerAdapter {
@@ -68,6 +69,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            service.events().unexpected("offer", cause);
+        }
         context.close();
     }
 }
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -25,6 +25,9 @@
     /** Interval at which queued requests are checked for their deadlines. */
     private static final long EXPIRY_MILLIS = 50;
 
+    /** Limit of the bytes of all bodies that wait for a slot or for their end. */
+    private static final long MAX_BODY_BYTES = 48L << 20;
+
     private final HostGate gate;
     private final Directory directory;
     private final EventLoop loop;
@@ -39,6 +42,7 @@
     private Optional<TargetEntry> published = Optional.empty();
     private Condition lastCondition = Condition.SERVING;
     private long nextId;
+    private long bodyBytes;
     private boolean expiryScheduled;
 
     /**
@@ -167,6 +171,19 @@
         scheduleExpiry();
     }
 
+    /** Reserves memory for a part of a body; false if all bodies together would be too large. */
+    boolean reserveBodyBytes(int bytes) {
+        if (bodyBytes + bytes > MAX_BODY_BYTES) {
+            return false;
+        }
+        bodyBytes += bytes;
+        return true;
+    }
+
+    void releaseBodyBytes(int bytes) {
+        bodyBytes -= bytes;
+    }
+
     ClientConnection callTarget(long maxIdleNanos, CallListener listener) {
         return targetConnections.acquire(targetAddress, maxIdleNanos, listener);
     }
@@ -205,11 +222,13 @@
         }
         expiryScheduled = true;
         loop.schedule(
-                () -> {
-                    expiryScheduled = false;
-                    notifyExchanges(gate.expire(System.nanoTime()));
-                    scheduleExpiry();
-                },
+                events.guarded(
+                        "queue_expiry",
+                        () -> {
+                            expiryScheduled = false;
+                            notifyExchanges(gate.expire(System.nanoTime()));
+                            scheduleExpiry();
+                        }),
                 EXPIRY_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/azureshed/traffic/TrafficEvents.java
+++ b/src/main/java/org/azureshed/traffic/TrafficEvents.java
@@ -52,4 +52,31 @@
      * @param pairs details for the log
      */
     void anomaly(String cause, Object... pairs);
+
+    /**
+     * Code threw an exception that no input should cause. It ends one request, message or run of a
+     * periodic task.
+     *
+     * @param where what was interrupted, for example {@code caller_request}
+     * @param error the exception
+     */
+    void unexpected(String where, Throwable error);
+
+    /**
+     * Wraps a task so that its exception is reported instead of thrown. A periodic task that throws
+     * would not run again.
+     *
+     * @param where name of the task for the report
+     * @param task the task
+     * @return a task that never throws an exception
+     */
+    default Runnable guarded(String where, Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                unexpected(where, e);
+            }
+        };
+    }
 }
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -50,10 +50,12 @@
      * @param loop event loop of the connections
      * @param address endpoint to listen on, with an IP address
      * @param endpoint handles the requests
+     * @param events receives exceptions of the endpoint
      * @return the bound server channel
      */
-    public static Channel control(EventLoop loop, Endpoint address, ControlEndpoint endpoint) {
-        return listen(loop, address, () -> new ControlHandler(endpoint));
+    public static Channel control(
+            EventLoop loop, Endpoint address, ControlEndpoint endpoint, TrafficEvents events) {
+        return listen(loop, address, () -> new ControlHandler(endpoint, events));
     }
 
     private static Channel listen(
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.azureshed.model.Endpoint;
 import org.azureshed.platform.standin.ProtocolRequests;
 import org.azureshed.platform.standin.StoreStandIn;
@@ -105,6 +106,15 @@
 
     /** Creates a node without starting it. */
     SidecarNode create(int index, String service, boolean firstStart) {
+        return create(index, service, firstStart, protocol -> protocol);
+    }
+
+    /** Creates a node whose protocol differs in some part, without starting it. */
+    SidecarNode create(
+            int index,
+            String service,
+            boolean firstStart,
+            UnaryOperator<SidecarNode.PlatformProtocol> change) {
         SidecarSettings settings =
                 new SidecarSettings(
                         "node-" + index,
@@ -125,7 +135,8 @@
                         10,
                         firstStart);
         DecisionLog log = new DecisionLog(logOutput, settings.node());
-        SidecarNode node = new SidecarNode(settings, SidecarMain.protocol(settings, log), log);
+        SidecarNode node =
+                new SidecarNode(settings, change.apply(SidecarMain.protocol(settings, log)), log);
         nodes.add(node);
         return node;
     }
