Check the retry budget before a trial of a suspect target starts

Cause: HostGate started a trial, which pauses the next one for 400 ms, and then refused the request for lack of retry budget; the suspect target was not tried and recovered later.

Measured: HostGateTest.retryBeyondTheBudgetTakesNoTrial failed before and passes now.

--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -139,6 +139,10 @@
             return refused(refusalReason.get(), 0, false);
         }
         if (health.condition(nowNanos) == Condition.SUSPECT && offered.mode() != OfferMode.FORCE) {
+            if (offered.retry() && !retries.allowsRetry(nowNanos)) {
+                // Checked before the trial starts: a refused retry must not use it up.
+                return refused(RefusalReason.RETRY_BUDGET, 0, false);
+            }
             boolean trial =
                     offered.repeatable() && hasFreeSlot(nowNanos) && health.startTrial(nowNanos);
             if (!trial) {
--- a/src/main/java/org/azureshed/host/RetryBudgetShare.java
+++ b/src/main/java/org/azureshed/host/RetryBudgetShare.java
@@ -87,7 +87,21 @@
      * @return true if the retry is allowed
      */
     public boolean tryRetry(long nowNanos) {
-        int bucketIndex = bucketIndex(nowNanos);
+        if (!allowsRetry(nowNanos)) {
+            return false;
+        }
+        retries[bucketIndex(nowNanos)]++;
+        return true;
+    }
+
+    /**
+     * Whether the budget allows a retry, without counting one.
+     *
+     * @param nowNanos current time
+     * @return true if {@link #tryRetry} would allow it now
+     */
+    public boolean allowsRetry(long nowNanos) {
+        bucketIndex(nowNanos);
         // The oldest bucket lies partly before the window. Only its retries count, not its
         // requests, so that the budget is never overestimated.
         int oldest = (int) ((bucket + 1) % requests.length);
@@ -101,11 +115,7 @@
         double allowed = ratio * started + Math.min(1, age) * slack / targets;
         // With a slack of at least one retry per target, one is allowed even right after the start.
         double minimum = Math.min(1, slack / targets);
-        if (retried + 1 > Math.max(minimum, USABLE_FRACTION * allowed)) {
-            return false;
-        }
-        retries[bucketIndex]++;
-        return true;
+        return retried + 1 <= Math.max(minimum, USABLE_FRACTION * allowed);
     }
 
     /** Advances to the current time's bucket, clears skipped buckets and returns its index. */
--- a/src/test/java/org/azureshed/host/HostGateTest.java
+++ b/src/test/java/org/azureshed/host/HostGateTest.java
@@ -105,6 +105,27 @@
         assertInstanceOf(AdmissionDecision.Queued.class, queued);
     }
 
+    /**
+     * Load pattern: a suspect target is offered retries while the retry budget is used up. A trial
+     * given to a refused retry would delay the trial, and with it the recovery of the target.
+     */
+    @Test
+    void retryBeyondTheBudgetTakesNoTrial() {
+        HostGate poor = new HostGate(new RetryBudgetShare(0, 1, 10, 1, NODE_START_NANOS));
+        poor.apply(Optional.of(target(Condition.SERVING)), -1);
+        long now = 0;
+        OfferedRequest first = request(OfferMode.IMMEDIATE, true, true, false, LONG_DEADLINE_NANOS);
+        assertInstanceOf(AdmissionDecision.Admitted.class, poor.offer(first, now));
+        poor.release(first, RunResult.BROKEN, RUN_NANOS, now);
+        assertEquals(Condition.SUSPECT, poor.condition(now));
+        now += TimeUnit.MILLISECONDS.toNanos(600);
+        OfferedRequest retry = request(OfferMode.IMMEDIATE, true, true, false, LONG_DEADLINE_NANOS);
+        assertEquals(RefusalReason.RETRY_BUDGET, reason(poor.offer(retry, now)));
+        OfferedRequest trial =
+                request(OfferMode.IMMEDIATE, true, false, false, LONG_DEADLINE_NANOS);
+        assertInstanceOf(AdmissionDecision.Admitted.class, poor.offer(trial, now));
+    }
+
     /** A request whose deadline would pass in the queue is refused at once. */
     @Test
     void requestThatCannotFinishInTimeIsRefused() {
