Hedge requests that waited in a queue beyond their objective

Cause: the timer for a hedge was set only before the latency objective had passed since the arrival. A repeatable request that waited longer for a slot and was then sent to a mute target was never hedged, and ended with 504.

Change: such a request is hedged when its objective has passed once more since its admission.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -83,6 +83,9 @@
     /** Whether an attempt that has ended may have run the request. */
     private boolean mayHaveRun;
 
+    /** Time of the last admission; the start time before the first one. */
+    private long lastAdmittedNanos;
+
     private boolean hedged;
     private boolean done;
 
@@ -117,6 +120,7 @@
         this.route = route;
         this.candidates = List.copyOf(candidates);
         this.startNanos = startNanos;
+        this.lastAdmittedNanos = startNanos;
         this.deadlineNanos = deadlineNanos;
         this.jitter = jitter;
     }
@@ -175,6 +179,7 @@
             return;
         }
         attempt.admitted = true;
+        lastAdmittedNanos = nowNanos;
         sent++;
         admittedNodes.add(attempt.node.name());
         setTimer(nowNanos);
@@ -309,11 +314,17 @@
                 && nowNanos - hedgeNanos() >= 0;
     }
 
+    /**
+     * Time of the hedge: when the latency objective has passed, or, for a request that waited
+     * longer than that for a slot, when it has passed once more since the admission.
+     */
     private long hedgeNanos() {
-        return startNanos
-                + Math.max(
+        long delay =
+                Math.max(
                         MIN_HEDGE_NANOS,
                         TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
+        boolean admittedLate = lastAdmittedNanos - startNanos > delay;
+        return (admittedLate ? lastAdmittedNanos : startNanos) + delay;
     }
 
     private void setTimer(long nowNanos) {
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -181,6 +181,37 @@
         assertEquals("refuse RETRY_BUDGET", descriptions.getLast());
     }
 
+    /**
+     * Load pattern: a busy service with one mute target. A repeatable request that waited in the
+     * queue beyond its latency objective, and was then sent to the mute target, is hedged like one
+     * that was sent at once.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 900, 1_500})
+    void requestAdmittedFromAQueueIsHedged(long admittedMillis) {
+        Exchange exchange = new Exchange(route(true, 2), nodes(2), 0, DEADLINE_NANOS, 0.5);
+        exchange.handle(START, 1);
+        long timer = nanosOf(exchange.handle(admitted(0), millis(admittedMillis)));
+        long expectedMillis = admittedMillis < 800 ? 800 : admittedMillis + 800;
+        assertEquals(millis(expectedMillis), timer);
+        List<ExchangeEffect> effects = exchange.handle(new ExchangeEvent.TimerFired(), timer);
+        assertEquals(
+                List.of("n1 IMMEDIATE"),
+                effects.stream().flatMap(effect -> describe(effect).stream()).toList());
+    }
+
+    private static long millis(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static long nanosOf(List<ExchangeEffect> effects) {
+        return effects.stream()
+                .filter(ExchangeEffect.SetTimer.class::isInstance)
+                .map(effect -> ((ExchangeEffect.SetTimer) effect).nanos())
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
     static Stream<Arguments> offers() {
         ExchangeEvent timerFired = new ExchangeEvent.TimerFired();
         return Stream.of(
