Let a suspect request go on while no target has received it

Cause: when a node is lost, the requests that were running there are suspects for 30 s. A later request for the same page arrives as a suspect and was not retried at all, not even when the lost node accepted no connection, while the floor kept the lost node's targets in use: every reader of that page got 503 node-unreachable although another target was free (HostLossIT, 1 of 6 runs).

Change: after an attempt that no target received, a suspect goes to another target; it still runs at most once. Ruled out: trying again after queue-full, which would spread suspects over all targets.

--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -29,7 +29,8 @@
  * <p>A request that did not run is retried unless the reason of its refusal rules out a retry. One
  * of unknown outcome is retried only if its class is idempotent, it has no idempotency key and its
  * caller is still connected. Neither is retried if its body can no longer be sent from the start,
- * if it is suspected of crashing targets, or if its time or its attempts are used up. A retry after
+ * if it is suspected of crashing targets and one may have received it, or if its time or its
+ * attempts are used up. A retry after
  * an attempt that put load on a target also needs the consent of the retry budget.
  */
 @Singleton
@@ -126,13 +127,24 @@
             tried.add(pick.get().candidate().target().id());
             last = attempt(call, tracked, pick.get(), attempt);
             tracked.ended(last);
-            if (!tracked.mayRetry() || !retryable(call, last)) {
+            if (!mayTryAnotherTarget(!tracked.mayRetry(), last) || !retryable(call, last)) {
                 return last;
             }
         }
         return last;
     }
 
+    /**
+     * Whether a request may go to another target after an attempt. One that is suspected of crashing
+     * targets may only do so while no target has received it, for example after a lost node.
+     *
+     * @param suspect whether the request is suspected of crashing targets
+     * @param last outcome of the attempt
+     */
+    static boolean mayTryAnotherTarget(boolean suspect, Outcome last) {
+        return !suspect || addsNoLoad(last);
+    }
+
     /**
      * Whether the attempt put no load on a target. Retries after such attempts cannot amplify load
      * and are not counted in the retry budget. If they were, a budget of 10% would run out after
