Repeat a preset command that lost only to a write-back

Cause: after the platform was restored from an older copy, a node writes the fleet's activation back to the index. If that came between the read and the conditional write of a command, the command failed with LostRace, as if another operator had decided something else; this fits OutageIT's one failure, in which the command preset use failed within seconds of the write-back (its log was not kept).

Change: a command that did not name the state it expects reads the index again and repeats its change; races between operators are reported as before.

Measured: PresetOperationsTest.changeIsRepeatedAfterANodeWroteBack failed in 2 of 2 cases before and passes now.

--- a/src/main/java/org/azureshed/distribution/internal/IndexWriteBack.java
+++ b/src/main/java/org/azureshed/distribution/internal/IndexWriteBack.java
@@ -119,7 +119,7 @@
             changes.add(
                     new PresetChange(
                             lastChange,
-                            "write-back-" + request.number(),
+                            PresetChange.writeBackId(request.number()),
                             PresetChange.Kind.USE,
                             name,
                             presets.get(name).revision(),
--- a/src/main/java/org/azureshed/preset/PresetChange.java
+++ b/src/main/java/org/azureshed/preset/PresetChange.java
@@ -25,6 +25,8 @@
         String reason,
         String operator,
         long timeMillis) {
+    private static final String WRITE_BACK_PREFIX = "write-back-";
+
     /** Kinds of changes. */
     public enum Kind {
         /** A preset was stored, as a new one or in place of its earlier content. */
@@ -33,6 +35,26 @@
         USE
     }
 
+    /**
+     * Returns the operation id of a node that writes an activation back to a restored platform.
+     *
+     * @param activationNumber activation that the fleet knows
+     * @return the id
+     */
+    public static String writeBackId(long activationNumber) {
+        return WRITE_BACK_PREFIX + activationNumber;
+    }
+
+    /**
+     * Whether a node wrote the change back to a restored platform. It repeats an earlier decision
+     * of an operator and is no new one.
+     *
+     * @return false if an operator made the change
+     */
+    public boolean writtenBack() {
+        return operationId.startsWith(WRITE_BACK_PREFIX);
+    }
+
     /**
      * Describes the change in a phrase.
      *
--- a/src/main/java/org/azureshed/preset/PresetOperations.java
+++ b/src/main/java/org/azureshed/preset/PresetOperations.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.azureshed.model.Preset;
 import org.azureshed.platform.ObjectKey;
@@ -33,6 +34,9 @@
  * write is retried with the same expected version, so at most one of the attempts takes effect.
  */
 public final class PresetOperations {
+    /** Each node writes an activation back at most once, and rarely more than one does so. */
+    private static final int MAX_COMMIT_ATTEMPTS = 4;
+
     /** Object kind of archived changes, which are older than those in the index. */
     public static final String CHANGE_KIND = "change";
 
@@ -90,10 +94,31 @@
         return PresetChunks.split(preset)
                 .flatMap(
                         chunks ->
-                                indexCommit
-                                        .read()
-                                        .flatMap(
-                                                base -> put(preset.name(), chunks, base, request)));
+                                commit(
+                                        request,
+                                        base -> put(preset.name(), chunks, base, request)));
+    }
+
+    /**
+     * Applies a change to the index as it is now, and again if a node wrote an earlier activation
+     * back meanwhile, unless the operator named the state to be replaced.
+     */
+    private Either<PresetError, PresetChange> commit(
+            ChangeRequest request,
+            Function<IndexVersion, Either<PresetError, PresetChange>> change) {
+        for (int attempt = 1; ; attempt++) {
+            Either<PresetError, PresetChange> result = indexCommit.read().flatMap(change);
+            boolean lostToWriteBack =
+                    result.isLeft()
+                            && result.getLeft()
+                                    instanceof PresetError.LostRace(Optional<PresetChange> winner)
+                            && winner.filter(PresetChange::writtenBack).isPresent();
+            if (!lostToWriteBack
+                    || request.expected().isPresent()
+                    || attempt == MAX_COMMIT_ATTEMPTS) {
+                return result;
+            }
+        }
     }
 
     private Either<PresetError, PresetChange> put(
@@ -116,7 +141,7 @@
      * @return the change that took effect, or the error
      */
     public Either<PresetError, PresetChange> use(String name, ChangeRequest request) {
-        return indexCommit.read().flatMap(base -> use(name, base, request));
+        return commit(request, base -> use(name, base, request));
     }
 
     private Either<PresetError, PresetChange> use(
--- a/src/test/java/org/azureshed/preset/PresetOperationsTest.java
+++ b/src/test/java/org/azureshed/preset/PresetOperationsTest.java
@@ -11,10 +11,12 @@
 import java.net.http.HttpResponse;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.UUID;
 import org.azureshed.platform.HttpObjectStore;
+import org.azureshed.platform.StoredObject;
 import org.azureshed.standin.PlatformStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -90,6 +92,53 @@
         assertEquals(4, elena.history(100).get().size());
     }
 
+    /**
+     * Guards against an operator's command that fails because a node repaired the index of a
+     * restored platform at the same moment; the repair repeats an earlier decision.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"use", "put"})
+    void changeIsRepeatedAfterANodeWroteBack(String operation) {
+        interceptor.beforeIndexWrite(this::writeBack);
+        Either<PresetError, PresetChange> change =
+                operation.equals("use")
+                        ? maria.use("peak", because("noon"))
+                        : maria.put(TestPresets.small("night", "x"), because("noon"));
+        assertTrue(change.isRight(), () -> change.getLeft().message());
+        PresetIndex index = elena.list().get();
+        assertEquals(operation.equals("use") ? "peak" : "ordinary", index.inForce());
+        assertEquals(operation.equals("use") ? 10 : 9, index.activationNumber());
+    }
+
+    /** A command that names the state it expects must not act on another one. */
+    @Test
+    void expectedStateIsNotReplacedByAWriteBack() {
+        interceptor.beforeIndexWrite(this::writeBack);
+        ChangeRequest expecting = new ChangeRequest("maria", "mine", 0, OptionalLong.of(1));
+        assertInstanceOf(PresetError.LostRace.class, maria.use("peak", expecting).getLeft());
+    }
+
+    /** Does what a node does that knows activation 9 of the preset in force. */
+    private void writeBack() {
+        StoredObject read = store.get(PresetIndex.KEY).get();
+        PresetIndex old = PresetIndex.decode(read.value()).get();
+        List<PresetChange> changes = new ArrayList<>(old.changes());
+        long number = old.lastChange() + 1;
+        changes.add(
+                new PresetChange(
+                        number,
+                        "write-back-9",
+                        PresetChange.Kind.USE,
+                        "ordinary",
+                        1,
+                        9,
+                        "restored",
+                        "azureshed",
+                        0));
+        PresetIndex next = new PresetIndex(9, "ordinary", old.presets(), number, changes);
+        store.put(PresetIndex.KEY, next.encode(), read.version()).get();
+    }
+
     @Test
     void decisionOnAnOldRevisionIsRefused() {
         elena.put(TestPresets.small("peak", "newer"), because("more slots")).get();
