--- a/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
+++ b/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
@@ -1,5 +1,7 @@
 package org.azureshed.dispatch;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -32,7 +34,15 @@
             int maxHeaderBytes,
             long maxBodyBytes,
             long headerTimeoutMillis,
-            long idleTimeoutMillis) {}
+            long idleTimeoutMillis) {
+        /** Checks the arguments. */
+        public CallerLimits {
+            checkArgument(maxHeaderBytes > 0, "maxHeaderBytes must be positive");
+            checkArgument(maxBodyBytes >= 0, "maxBodyBytes must not be negative");
+            checkArgument(headerTimeoutMillis > 0, "headerTimeoutMillis must be positive");
+            checkArgument(idleTimeoutMillis > 0, "idleTimeoutMillis must be positive");
+        }
+    }
 
     /**
      * Creates a configuration.
--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -131,7 +131,7 @@
         return new Result.Done(List.of(), List.of(), 0, Optional.empty());
     }
 
-    private Result page(String kind, byte[] body) throws IOException {
+    Result page(String kind, byte[] body) throws IOException {
         JsonSlice page = JsonSlice.of(body);
         Entries read = new Entries(kind);
         for (JsonSlice item : member(page, "items").elements()) {
@@ -143,7 +143,7 @@
                 more && !read.lastName.isEmpty() ? Optional.of(read.lastName) : Optional.empty());
     }
 
-    private Result events(String kind, byte[] body) throws IOException {
+    Result events(String kind, byte[] body) throws IOException {
         JsonSlice page = JsonSlice.of(body);
         Entries read = new Entries(kind);
         for (JsonSlice event : member(page, "events").elements()) {
--- a/src/main/java/org/azureshed/preset/PresetOperations.java
+++ b/src/main/java/org/azureshed/preset/PresetOperations.java
@@ -94,9 +94,7 @@
         return PresetChunks.split(preset)
                 .flatMap(
                         chunks ->
-                                commit(
-                                        request,
-                                        base -> put(preset.name(), chunks, base, request)));
+                                commit(request, base -> put(preset.name(), chunks, base, request)));
     }
 
     /**
--- a/src/main/java/org/azureshed/proxy/Dispatcher.java
+++ b/src/main/java/org/azureshed/proxy/Dispatcher.java
@@ -30,8 +30,8 @@
  * of unknown outcome is retried only if its class is idempotent, it has no idempotency key and its
  * caller is still connected. Neither is retried if its body can no longer be sent from the start,
  * if it is suspected of crashing targets and one may have received it, or if its time or its
- * attempts are used up. A retry after
- * an attempt that put load on a target also needs the consent of the retry budget.
+ * attempts are used up. A retry after an attempt that put load on a target also needs the consent
+ * of the retry budget.
  */
 @Singleton
 final class Dispatcher {
@@ -135,8 +135,9 @@
     }
 
     /**
-     * Whether a request may go to another target after an attempt. One that is suspected of crashing
-     * targets may only do so while no target has received it, for example after a lost node.
+     * Whether a request may go to another target after an attempt. One that is suspected of
+     * crashing targets may only do so while no target has received it, for example after a lost
+     * node.
      *
      * @param suspect whether the request is suspected of crashing targets
      * @param last outcome of the attempt
--- /dev/null
+++ b/src/test/java/org/azureshed/sidecar/NodeEntryPropertyTest.java
@@ -0,0 +1,45 @@
+package org.azureshed.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.azureshed.directory.NodeEntry;
+import org.azureshed.json.OddJson;
+
+/** Properties of directory entries that come from the store or from a peer. */
+class NodeEntryPropertyTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long NOW_MILLIS = 1_796_000_000_000L;
+
+    @Provide
+    Arbitrary<byte[]> entries() {
+        return OddJson.variants(
+                "{\"node\":\"n\",\"az\":\"z\",\"at\":\"10.0.0.1:80\",\"incarnation\":5,"
+                        + "\"revision\":2,\"target\":{\"id\":\"i\",\"born\":1,\"service\":\"s\","
+                        + "\"slots\":4,\"condition\":\"SERVING\"}}");
+    }
+
+    @Property
+    void entryIsUsableOrIllegal(@ForAll("entries") byte[] body) throws IOException {
+        NodeEntry entry;
+        try {
+            entry = NodeEntryCodec.decode(JSON.readTree(body), NOW_MILLIS);
+        } catch (IOException | IllegalArgumentException unusable) {
+            return;
+        }
+        // An address that needs no resolution, and room for a higher incarnation and revision.
+        assertTrue(
+                new InetSocketAddress(entry.address().host(), entry.address().port()).getAddress()
+                        != null);
+        assertTrue(entry.incarnation() + 1 > entry.incarnation());
+        assertTrue(entry.revision() + 1 > entry.revision());
+        assertEquals(entry, NodeEntryCodec.decode(NodeEntryCodec.encode(entry), NOW_MILLIS));
+    }
+}
