--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -30,6 +31,7 @@
     private final ServerSocket server;
     private final List<Request> executions = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
     private final AtomicInteger endlessResponses = new AtomicInteger();
     private volatile Function<Request, Behaviour> behaviour;
 
@@ -90,6 +92,15 @@
          */
         record Endless(String prefix, String repeated, long pauseMillis) implements Behaviour {}
 
+        /**
+         * Runs the request and answers it with its identifier as the body. Sends a second copy of
+         * the answer on the same connection later.
+         *
+         * @param delayMillis time in ms from the answer to its copy; negative to send the copy when
+         *     the next request arrives, before the answer to it
+         */
+        record LateCopy(long delayMillis) implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -219,6 +230,17 @@
                 String answer = completeResponse(request, 200, twice.body());
                 write(out, answer + answer);
             }
+            case Behaviour.LateCopy copy -> {
+                String answer = completeResponse(request, 200, request.requestId());
+                String late = lateCopies.remove(socket);
+                write(out, late == null ? answer : late + answer);
+                if (copy.delayMillis() < 0) {
+                    lateCopies.put(socket, answer);
+                } else {
+                    TimeUnit.MILLISECONDS.sleep(copy.delayMillis());
+                    write(out, answer);
+                }
+            }
             case Behaviour.Endless endless -> sendEndlessly(endless, request, out);
             default -> TimeUnit.SECONDS.sleep(30);
         }
