Hedge short calls while a second attempt can still finish

Change: with little time to live the hedge is due after a third of it, and the least time left for a retry is at most the route's latency objective. The budget bounds it as before.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -38,12 +38,24 @@
     /** Unreachable nodes after which no further immediate offers are made. */
     static final int MAX_PATH_FAILURES = 6;
 
-    /** With less time than this before the deadline, a retry or hedge would not finish. */
+    /**
+     * With less time than this before the deadline, a retry or hedge would not finish; on routes
+     * with a shorter latency objective the objective counts.
+     */
     private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-    /** Earliest hedged attempt, measured from the request's arrival. */
+    /**
+     * Earliest hedged attempt, measured from the request's arrival; for requests with little time
+     * to live a third of that time.
+     */
     private static final long MIN_HEDGE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** Divisor of the time to live; leaves a hedged attempt twice the time of the first one. */
+    private static final int HEDGE_DIVISOR = 3;
+
+    /** Covers the way to a target in another availability zone and back. */
+    private static final long MIN_OBJECTIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     private static final long MIN_RETRY_AFTER_MILLIS = 250;
 
     /** Longest Retry-After, including the jitter, which at most doubles it. */
@@ -314,15 +326,17 @@
                 && nowNanos - hedgeNanos() >= 0;
     }
 
+    private long objectiveNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis());
+    }
+
     /**
      * Time of the hedge: when the latency objective has passed, or, for a request that waited
      * longer than that for a slot, when it has passed once more since the admission.
      */
     private long hedgeNanos() {
-        long delay =
-                Math.max(
-                        MIN_HEDGE_NANOS,
-                        TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()));
+        long earliest = Math.min(MIN_HEDGE_NANOS, (deadlineNanos - startNanos) / HEDGE_DIVISOR);
+        long delay = Math.max(earliest, objectiveNanos());
         boolean admittedLate = lastAdmittedNanos - startNanos > delay;
         return (admittedLate ? lastAdmittedNanos : startNanos) + delay;
     }
@@ -335,7 +349,8 @@
 
     /** Whether attempts and time allow a retry; the host side checks the retry budget. */
     private boolean retryAllowed(long nowNanos) {
-        return sent < route.attempts() && deadlineNanos - nowNanos > MIN_RETRY_NANOS;
+        long needed = Math.min(MIN_RETRY_NANOS, Math.max(MIN_OBJECTIVE_NANOS, objectiveNanos()));
+        return sent < route.attempts() && deadlineNanos - nowNanos > needed;
     }
 
     private void offerNext(long nowNanos) {
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -200,6 +200,45 @@
                 effects.stream().flatMap(effect -> describe(effect).stream()).toList());
     }
 
+    static Stream<Arguments> shortCalls() {
+        return Stream.of(
+                // objective, time limit, expected time of the hedge; all in ms
+                Arguments.of(120, 375, 125),
+                Arguments.of(50, 240, 80),
+                Arguments.of(400, 1_175, 400),
+                Arguments.of(100, 3_000, 300));
+    }
+
+    /**
+     * Load pattern: short calls with little time to live, some of which meet a mute target. A call
+     * that is lost wastes the run that waits for it, so it is hedged while there is time for a
+     * second attempt.
+     */
+    @ParameterizedTest
+    @MethodSource("shortCalls")
+    void shortCallIsHedgedWhileASecondAttemptCanFinish(
+            long objectiveMillis, long limitMillis, long expectedMillis) {
+        ForwardRoute call =
+                new ForwardRoute(
+                        "r",
+                        "h",
+                        "/",
+                        true,
+                        limitMillis,
+                        objectiveMillis,
+                        1,
+                        2,
+                        List.of(new ForwardRoute.Share("shop", 1)));
+        Exchange exchange = new Exchange(call, nodes(2), 0, millis(limitMillis), 0.5);
+        exchange.handle(START, 1);
+        long timer = nanosOf(exchange.handle(admitted(0), millis(5)));
+        assertEquals(millis(expectedMillis), timer);
+        List<ExchangeEffect> effects = exchange.handle(new ExchangeEvent.TimerFired(), timer);
+        assertEquals(
+                List.of("n1 IMMEDIATE"),
+                effects.stream().flatMap(effect -> describe(effect).stream()).toList());
+    }
+
     private static long millis(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
