Judge a target by runs that have no answer yet

Change: while requests run, the host side looks every 50 ms at those without any part of an answer. Two that are older than three usual run times, or one older than six, with nothing answered since they began, make the target suspect: waiting requests go elsewhere, trials by repeatable requests follow, and the next answer ends the suspicion. Running work is left alone. A check that comes late, after a pause of the process, is skipped.

Ruled out by tests: two big requests beside answered ones, one big request, runs that are only slow.

--- a/src/main/java/org/azureshed/host/HostGate.java
+++ b/src/main/java/org/azureshed/host/HostGate.java
@@ -190,6 +190,20 @@
         return admitWaiting(nowNanos);
     }
 
+    /**
+     * Judges the runs that have no answer yet. If the target turns out to be mute, the waiting
+     * requests are refused, so that they go elsewhere at once.
+     *
+     * @param startsNanos start times of the runs without any part of an answer
+     * @param nowNanos current time
+     * @return refusals of waiting requests
+     */
+    public List<QueueDecision> checkSilence(List<Long> startsNanos, long nowNanos) {
+        return health.checkSilence(startsNanos, DEFAULT_RUN_NANOS, nowNanos)
+                ? refuseAll(RefusalReason.TARGET_SUSPECT)
+                : List.of();
+    }
+
     /**
      * Removes a request from the queue, for example because its caller disconnected.
      *
--- a/src/main/java/org/azureshed/host/TargetHealth.java
+++ b/src/main/java/org/azureshed/host/TargetHealth.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.directory.Condition;
 
@@ -19,6 +20,14 @@
     /** A failure older than this is not counted any more. */
     private static final long MAX_RESULT_AGE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Age of a run without an answer, relative to the usual run time, that counts as silence. */
+    private static final double SILENCE_FACTOR = 3;
+
+    /** Shortest age that counts as silence; short pauses of a target or its VM are usual. */
+    private static final long MIN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private static final int MIN_SILENT_RUNS = 2;
+
     /** Pause between two trials of a suspect target. */
     private static final long TRIAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -106,6 +115,42 @@
         }
     }
 
+    /**
+     * Judges the runs that have no answer yet. A target that answers nothing while several runs are
+     * far older than usual is mute: it becomes suspect before they end. One run alone may be an
+     * unusually big request and has to be older still.
+     *
+     * @param startsNanos start times of the runs without any part of an answer
+     * @param defaultRunNanos mean run time in nanoseconds to assume before the first success
+     * @param nowNanos current time
+     * @return true if the target became suspect now
+     */
+    public boolean checkSilence(List<Long> startsNanos, double defaultRunNanos, long nowNanos) {
+        if (suspect) {
+            return false;
+        }
+        double usual = recentNanos(defaultRunNanos);
+        double severalNanos = Math.max(MIN_SILENCE_NANOS, SILENCE_FACTOR * usual);
+        int silent = 0;
+        boolean verySilent = false;
+        for (long startNanos : startsNanos) {
+            boolean answeredSince = hasSucceeded && lastSuccessNanos - startNanos > 0;
+            if (!answeredSince && nowNanos - startNanos > severalNanos) {
+                silent++;
+                verySilent |= nowNanos - startNanos > 2 * severalNanos;
+            }
+        }
+        if (silent < MIN_SILENT_RUNS && !verySilent) {
+            return false;
+        }
+        suspect = true;
+        failures++;
+        consecutiveSuccesses = 0;
+        lastFailureNanos = nowNanos;
+        lastTrialNanos = nowNanos;
+        return true;
+    }
+
     /**
      * Starts a trial of a suspect target, which is one request that tests for recovery, unless the
      * pause after the last trial is not over.
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -108,6 +108,15 @@
         return done;
     }
 
+    /** Whether the target has the request and has not begun to answer it. */
+    boolean awaitsAnswer() {
+        return !done && !responseStarted && runStartNanos != 0;
+    }
+
+    long runStartNanos() {
+        return runStartNanos;
+    }
+
     /** Handles the gate's decision, made at once or after queueing. */
     void onDecision(AdmissionDecision decision) {
         if (done) {
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -1,6 +1,7 @@
 package org.azureshed.traffic;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,9 @@
     /** Limit of the bytes of all bodies that wait for a slot or for their end. */
     private static final long MAX_BODY_BYTES = 48L << 20;
 
+    /** Interval of checks for a mute target while requests run. */
+    private static final long SILENCE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     private final HostGate gate;
     private final Directory directory;
     private final EventLoop loop;
@@ -44,6 +48,8 @@
     private long nextId;
     private long bodyBytes;
     private boolean expiryScheduled;
+    private boolean silenceCheckScheduled;
+    private long lastSilenceCheckNanos;
 
     /**
      * Creates the host side.
@@ -169,6 +175,7 @@
         exchanges.put(exchange.offered().id(), exchange);
         exchange.onDecision(gate.offer(exchange.offered(), System.nanoTime()));
         scheduleExpiry();
+        scheduleSilenceCheck();
     }
 
     /** Reserves memory for a part of a body; false if all bodies together would be too large. */
@@ -207,6 +214,39 @@
         publish();
     }
 
+    /**
+     * Checks for a target that answers nothing. Skipped if the check itself comes late: after a
+     * pause of this process answers may be waiting to be read.
+     */
+    private void checkSilence() {
+        long now = System.nanoTime();
+        boolean late = now - lastSilenceCheckNanos > 2 * SILENCE_CHECK_NANOS;
+        silenceCheckScheduled = false;
+        if (!late) {
+            List<Long> starts = new ArrayList<>();
+            for (HostExchange exchange : exchanges.values()) {
+                if (exchange.awaitsAnswer()) {
+                    starts.add(exchange.runStartNanos());
+                }
+            }
+            notifyExchanges(gate.checkSilence(starts, now));
+            publish();
+        }
+        scheduleSilenceCheck();
+    }
+
+    void scheduleSilenceCheck() {
+        if (silenceCheckScheduled || exchanges.isEmpty()) {
+            return;
+        }
+        silenceCheckScheduled = true;
+        lastSilenceCheckNanos = System.nanoTime();
+        loop.schedule(
+                events.guarded("silence_check", this::checkSilence),
+                SILENCE_CHECK_NANOS,
+                TimeUnit.NANOSECONDS);
+    }
+
     private void notifyExchanges(List<HostGate.QueueDecision> decisions) {
         for (HostGate.QueueDecision decision : decisions) {
             HostExchange exchange = exchanges.get(decision.offered().id());
--- a/src/test/java/org/azureshed/host/HostGateTest.java
+++ b/src/test/java/org/azureshed/host/HostGateTest.java
@@ -126,6 +126,76 @@
         assertInstanceOf(AdmissionDecision.Admitted.class, poor.offer(trial, now));
     }
 
+    private static final class Silence {
+        private final int requests;
+        private final long ageNanos;
+        private final long lastAnswerAgeNanos;
+
+        Silence(int requests, long ageMillis, long lastAnswerAgeMillis) {
+            this.requests = requests;
+            this.ageNanos = TimeUnit.MILLISECONDS.toNanos(ageMillis);
+            this.lastAnswerAgeNanos = TimeUnit.MILLISECONDS.toNanos(lastAnswerAgeMillis);
+        }
+    }
+
+    /** Runs of 300 ms on average; the age of those that have no answer yet, in ms. */
+    static Stream<Arguments> silences() {
+        return Stream.of(
+                // Two runs without an answer, and nothing answered since the first one began.
+                Arguments.of(new Silence(2, 950, 1_000), Condition.SUSPECT),
+                Arguments.of(new Silence(4, 950, 1_000), Condition.SUSPECT),
+                // The target answered others meanwhile: two big requests.
+                Arguments.of(new Silence(2, 950, 100), Condition.SERVING),
+                // Not old enough for a slow run.
+                Arguments.of(new Silence(4, 800, 1_000), Condition.SERVING),
+                // One run alone may be a big request, until it is very old.
+                Arguments.of(new Silence(1, 950, 1_000), Condition.SERVING),
+                Arguments.of(new Silence(1, 1_900, 2_000), Condition.SUSPECT));
+    }
+
+    /**
+     * Load pattern: a target takes requests and answers none, without closing a connection. Its
+     * runs end only at their deadlines, and until then waiting and new requests would join them.
+     */
+    @ParameterizedTest
+    @MethodSource("silences")
+    void muteTargetIsSuspectBeforeItsRunsEnd(Silence silence, Condition expected) {
+        long now = TimeUnit.SECONDS.toNanos(10);
+        run(RunResult.SUCCESS, now - silence.lastAnswerAgeNanos);
+        List<Long> starts = new ArrayList<>();
+        for (int i = 0; i < silence.requests; i++) {
+            starts.add(now - silence.ageNanos);
+        }
+        gate.checkSilence(starts, now);
+        assertEquals(expected, gate.condition(now));
+    }
+
+    /** Load pattern: the same, with requests that wait for a slot of the mute target. */
+    @Test
+    void waitingRequestsLeaveAMuteTarget() {
+        fillSlots();
+        OfferedRequest waiting = request(OfferMode.QUEUE, true, false, false, LONG_DEADLINE_NANOS);
+        assertInstanceOf(AdmissionDecision.Queued.class, gate.offer(waiting, 0));
+        long now = TimeUnit.SECONDS.toNanos(1);
+        List<HostGate.QueueDecision> decisions = gate.checkSilence(List.of(0L, 0L, 0L, 0L), now);
+        assertEquals(1, decisions.size());
+        assertEquals(RefusalReason.TARGET_SUSPECT, reason(decisions.getFirst().decision()));
+        assertEquals(0, gate.waitingCount());
+    }
+
+    /** An answer of the same target ends the suspicion: it was slow, not mute. */
+    @Test
+    void answerEndsTheSuspicionOfSilence() {
+        long now = TimeUnit.SECONDS.toNanos(10);
+        gate.checkSilence(List.of(now - TimeUnit.SECONDS.toNanos(2)), now);
+        assertEquals(Condition.SUSPECT, gate.condition(now));
+        OfferedRequest trial =
+                request(OfferMode.FORCE, true, false, false, now + LONG_DEADLINE_NANOS);
+        assertInstanceOf(AdmissionDecision.Admitted.class, gate.offer(trial, now));
+        gate.release(trial, RunResult.SUCCESS, RUN_NANOS, now + 1);
+        assertEquals(Condition.SERVING, gate.condition(now + 1));
+    }
+
     /** A request whose deadline would pass in the queue is refused at once. */
     @Test
     void requestThatCannotFinishInTimeIsRefused() {
--- a/src/test/java/org/azureshed/platform/OperatorReportsTest.java
+++ b/src/test/java/org/azureshed/platform/OperatorReportsTest.java
@@ -70,6 +70,37 @@
         return fleet.request(0, "GET", "/read/a", "id-2").statusCode() == 503;
     }
 
+    /**
+     * Load pattern: a target that has served well takes requests and answers none. Requests that
+     * must not repeat are not sent to it any more while those before them still run.
+     */
+    @Test
+    void requestsAvoidATargetThatHasBecomeMute() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop");
+                ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 0; i < 8; i++) {
+                fleet.request(i % 2, "POST", "/write/a", "warm-" + i);
+            }
+            assertTrue(fleet.targets.stream().noneMatch(t -> t.executions().isEmpty()));
+            fleet.targets.getFirst().behaviour(request -> new Behaviour.NoAnswer());
+            fleet.targets.get(1).behaviour(request -> new Behaviour.Answer(200, 100, "ok"));
+            int before = fleet.targets.getFirst().executions().size();
+            for (int i = 0; fleet.targets.getFirst().executions().size() < before + 2; i++) {
+                String id = "lost-" + i;
+                callers.submit(() -> fleet.request(0, "POST", "/write/a", id));
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            TimeUnit.MILLISECONDS.sleep(700);
+            int atMute = fleet.targets.getFirst().executions().size();
+            for (int i = 0; i < 10; i++) {
+                String id = "id-" + i;
+                int status = fleet.request(0, "POST", "/write/a", id).statusCode();
+                assertEquals(200, status, fleet::log);
+            }
+            assertEquals(atMute, fleet.targets.getFirst().executions().size(), fleet::log);
+        }
+    }
+
     /** The node beside a target ends while the target runs a request, so the answer is lost. */
     @ParameterizedTest
     @MethodSource("lostAnswers")
