--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -1,8 +1,5 @@
 package org.azureshed.sidecar;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -17,7 +14,6 @@
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.dispatch.SuspectRequests;
-import org.azureshed.json.JsonFields;
 import org.azureshed.json.JsonSlice;
 import org.azureshed.model.Endpoint;
 import org.azureshed.poison.RequestFingerprint;
@@ -53,7 +49,6 @@
     /** Two nodes that are set to the same address by mistake would raise each other endlessly. */
     private static final long MIN_RECLAIM_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private static final int MAX_CRASHES = 1_000;
     private static final byte[] EMPTY_BODY = {};
 
     private final SidecarSettings settings;
@@ -65,7 +60,7 @@
     private final ConfigurationHolder configuration;
     private final SplittableRandom random;
     private final DecisionLog log;
-    private final ObjectMapper json;
+    private final PeerMessageCodec codec;
     private final UnusableEntries unusable;
     private final TrafficEvents events;
     private final Backoff writeBackoff;
@@ -89,7 +84,7 @@
             EventLoop loop,
             ConfigurationHolder configuration,
             SplittableRandom random,
-            ObjectMapper json,
+            PeerMessageCodec codec,
             UnusableEntries unusable,
             TrafficEvents events,
             DecisionLog log) {
@@ -101,7 +96,7 @@
         this.loop = loop;
         this.configuration = configuration;
         this.random = random;
-        this.json = json;
+        this.codec = codec;
         this.unusable = unusable;
         this.events = events;
         this.log = log;
@@ -190,7 +185,7 @@
     }
 
     private void announce() {
-        byte[] body = bytes(message(List.of(own)));
+        byte[] body = codec.bytes(message(List.of(own)));
         for (NodeEntry node : directory.nodes()) {
             if (!node.name().equals(own.name())) {
                 send(node, "/fleet/entries", body, reply -> merge(reply, node.name()));
@@ -360,9 +355,9 @@
             return;
         }
         NodeEntry partner = peers.get(random.nextInt(peers.size()));
-        ObjectNode digest = json.createObjectNode();
+        ObjectNode digest = codec.object();
         digest.put("digest", directory.digest()).put("config", configuration.version());
-        send(partner, "/fleet/digest", bytes(digest), reply -> onDigestReply(partner, reply));
+        send(partner, "/fleet/digest", codec.bytes(digest), reply -> onDigestReply(partner, reply));
     }
 
     /** Returns the other nodes; those of the zone only if that is asked for and there are any. */
@@ -383,35 +378,27 @@
     private void onDigestReply(NodeEntry partner, JsonSlice reply) throws IOException {
         if (reply.member("entries").isPresent()) {
             merge(reply, partner.name());
-            if (directory.digest() != number(reply, "digest")) {
-                byte[] all = bytes(message(List.copyOf(directory.nodes())));
+            if (directory.digest() != codec.number(reply, "digest")) {
+                byte[] all = codec.bytes(message(List.copyOf(directory.nodes())));
                 send(partner, "/fleet/entries", all, merged -> merge(merged, partner.name()));
             }
         }
-        long partnerVersion = number(reply, "config");
+        long partnerVersion = codec.number(reply, "config");
         if (partnerVersion > configuration.version()) {
             send(
                     partner,
                     "/fleet/configuration",
                     EMPTY_BODY,
-                    content -> configuration.applyIfNewer(content.parse(json), partner.name()));
+                    content ->
+                            configuration.applyIfNewer(
+                                    content.parse(codec.mapper()), partner.name()));
         } else if (partnerVersion < configuration.version()
                 && configuration.content().isPresent()) {
-            byte[] content = bytes(configuration.content().get());
+            byte[] content = codec.bytes(configuration.content().get());
             send(partner, "/fleet/configuration", content, ignored -> {});
         }
     }
 
-    private long number(JsonSlice message, String field) throws IOException {
-        JsonSlice value =
-                message.member(field).orElseThrow(() -> new IOException("no field " + field));
-        JsonNode number = value.parse(json);
-        if (!number.isIntegralNumber() || !number.canConvertToLong()) {
-            throw new IOException(field + " is not a whole number");
-        }
-        return number.longValue();
-    }
-
     /**
      * Handles a message of another node.
      *
@@ -425,15 +412,18 @@
             return switch (path) {
                 case "/fleet/entries" -> {
                     merge(JsonSlice.of(body), "message");
-                    yield Optional.of(bytes(message(List.of(own))));
+                    yield Optional.of(codec.bytes(message(List.of(own))));
                 }
                 case "/fleet/digest" ->
-                        Optional.of(bytes(digestReply(number(JsonSlice.of(body), "digest"))));
+                        Optional.of(
+                                codec.bytes(
+                                        digestReply(codec.number(JsonSlice.of(body), "digest"))));
                 case "/fleet/configuration" -> {
                     if (body.length > 0) {
-                        configuration.applyIfNewer(JsonSlice.of(body).parse(json), "message");
+                        configuration.applyIfNewer(
+                                JsonSlice.of(body).parse(codec.mapper()), "message");
                     }
-                    yield configuration.content().map(this::bytes);
+                    yield configuration.content().map(codec::bytes);
                 }
                 default -> Optional.empty();
             };
@@ -443,62 +433,22 @@
         }
     }
 
-    private ObjectNode digestReply(long digest) {
-        ObjectNode reply =
-                digest == directory.digest()
-                        ? json.createObjectNode()
-                        : message(List.copyOf(directory.nodes()));
-        return reply.put("digest", directory.digest()).put("config", configuration.version());
-    }
-
-    /** Merges each entry and each report of a message on its own; leaves out unusable ones. */
     private void merge(JsonSlice message, String source) throws IOException {
-        for (JsonSlice report : elements(message, "suspects")) {
-            try {
-                mergeSuspect(report.parse(json));
-            } catch (IOException | IllegalArgumentException e) {
-                unusable.report("suspects", source, e.getMessage());
-            }
-        }
-        for (JsonSlice element : elements(message, "entries")) {
-            try {
-                mergeEntry(NodeEntryCodec.decode(element.parse(json), System.currentTimeMillis()));
-            } catch (IOException | IllegalArgumentException e) {
-                unusable.report("entries", source, e.getMessage());
-            }
-        }
-    }
-
-    private static List<JsonSlice> elements(JsonSlice message, String field) throws IOException {
-        Optional<JsonSlice> list = message.member(field);
-        return list.isPresent() ? list.get().elements() : List.of();
+        codec.suspects(message, source)
+                .forEach(report -> suspects.merge(report, System.nanoTime()));
+        codec.entries(message, source).forEach(this::mergeEntry);
     }
 
-    private void mergeSuspect(JsonNode report) {
-        suspects.merge(
-                new SuspectRequests.Report(
-                        JsonFields.text(report, "node"),
-                        new RequestFingerprint(
-                                JsonFields.wholeNumber(
-                                        report, "request", Long.MIN_VALUE, Long.MAX_VALUE)),
-                        (int) JsonFields.wholeNumber(report, "crashes", 0, MAX_CRASHES)),
-                System.nanoTime());
+    private ObjectNode message(List<NodeEntry> entries) {
+        return codec.message(entries, suspects);
     }
 
-    private ObjectNode message(List<NodeEntry> entries) {
-        ObjectNode message = json.createObjectNode();
-        ArrayNode list = message.putArray("entries");
-        entries.forEach(entry -> list.add(NodeEntryCodec.encode(entry)));
-        if (!suspects.isEmpty()) {
-            ArrayNode reports = message.putArray("suspects");
-            for (SuspectRequests.Report report : suspects.reports()) {
-                reports.addObject()
-                        .put("node", report.node())
-                        .put("request", report.request().value())
-                        .put("crashes", report.crashes());
-            }
-        }
-        return message;
+    private ObjectNode digestReply(long digest) {
+        ObjectNode reply =
+                digest == directory.digest()
+                        ? codec.object()
+                        : message(List.copyOf(directory.nodes()));
+        return reply.put("digest", directory.digest()).put("config", configuration.version());
     }
 
     /** Uses the body of a reply; an exception leaves the rest of the reply unused. */
@@ -533,12 +483,4 @@
     private Endpoint peerAddress(NodeEntry node) {
         return node.address().withPort(settings.peerListen().port());
     }
-
-    private byte[] bytes(JsonNode message) {
-        try {
-            return json.writeValueAsBytes(message);
-        } catch (IOException e) {
-            throw new IllegalStateException("cannot serialize a JSON tree", e);
-        }
-    }
 }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -1,7 +1,6 @@
 package org.azureshed.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -171,7 +170,7 @@
                         loop,
                         configuration,
                         random.split(),
-                        new ObjectMapper(),
+                        new PeerMessageCodec(unusable),
                         unusable,
                         metrics,
                         log);
--- a/src/test/java/org/azureshed/sidecar/NodeEntryPropertyTest.java
+++ b/src/test/java/org/azureshed/sidecar/NodeEntryPropertyTest.java
@@ -11,7 +11,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.azureshed.directory.NodeEntry;
+import org.azureshed.json.JsonSlice;
 import org.azureshed.json.OddJson;
+import org.azureshed.telemetry.UnusableEntries;
 
 /** Properties of directory entries that come from the store or from a peer. */
 class NodeEntryPropertyTest {
@@ -26,6 +28,29 @@
                         + "\"slots\":4,\"condition\":\"SERVING\"}}");
     }
 
+    @Provide
+    Arbitrary<byte[]> messages() {
+        return OddJson.variants(
+                "{\"entries\":[{\"node\":\"n\",\"az\":\"z\",\"at\":\"10.0.0.1:80\","
+                        + "\"incarnation\":5,\"revision\":2}],\"suspects\":[{\"node\":\"n\","
+                        + "\"request\":7,\"crashes\":1}],\"digest\":9,\"config\":3}");
+    }
+
+    @Property
+    void peerMessageIsReadOrMalformed(@ForAll("messages") byte[] body) {
+        PeerMessageCodec codec =
+                new PeerMessageCodec(new UnusableEntries(kind -> {}, (kind, name, cause) -> {}));
+        JsonSlice message = JsonSlice.of(body);
+        try {
+            codec.entries(message, "peer");
+            codec.suspects(message, "peer");
+            codec.number(message, "digest");
+            codec.number(message, "config");
+        } catch (IOException malformed) {
+            // The message is ignored; the next exchange of digests repairs what it lacks.
+        }
+    }
+
     @Property
     void entryIsUsableOrIllegal(@ForAll("entries") byte[] body) throws IOException {
         NodeEntry entry;
