--- a/src/test/java/org/azureshed/platform/EndlessBytesTest.java
+++ b/src/test/java/org/azureshed/platform/EndlessBytesTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Checks whole nodes while a target or a caller sends bytes without end. */
@@ -152,6 +153,60 @@
         }
     }
 
+    /** Guards against a body without end, of a caller or of another node, that fills the memory. */
+    @ParameterizedTest
+    @CsvSource({
+        // A caller's body is limited to 1 MiB by the configuration.
+        "18304, '', HTTP/1.1 413",
+        // A node that offers a request has 600 ms to complete the body of an admitted one.
+        "18300, 't=i-0;m=QUEUE;o=FIRST;p=1;r=1;a=0;d=0;u=900;l=900;b=1', HTTP/1.1 100",
+        // An offer that is refused gets its refusal, whatever follows.
+        "18300, 't=none;m=QUEUE;o=FIRST;p=1;r=1;a=0;d=0;u=900;l=900;b=1', HTTP/1.1 503",
+        "18300, 'no offer', ''",
+    })
+    void endlessBodyIsEnded(int port, String offer, String status) throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop");
+                Socket sender = new Socket(fleet.ip(0), port)) {
+            long memory = PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
+            String head =
+                    "POST /write/a HTTP/1.1\r\nHost: "
+                            + ProtocolRequests.HOST
+                            + "\r\nAzureshed-Offer: "
+                            + offer
+                            + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+            byte[] chunk = ("2000\r\n" + BLOCK + "\r\n").getBytes(StandardCharsets.US_ASCII);
+            sender.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            Thread writer = Thread.startVirtualThread(() -> writeEndlessly(sender, chunk));
+            byte[] answer = readUntilReset(sender, status.length());
+            assertEquals(status, new String(answer, StandardCharsets.US_ASCII), fleet::log);
+            TimeUnit.MILLISECONDS.sleep(RELEASE_MILLIS);
+            long grown = PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() - memory;
+            assertTrue(grown < 2 * MAX_GROWTH_BYTES, grown + " bytes more");
+            assertEquals(0, fleet.targets.getFirst().executions().size());
+            sender.close();
+            writer.join();
+            SidecarFleet.await("the target serves", () -> served(fleet, "/short/b", "id-2"));
+        }
+    }
+
+    private static byte[] readUntilReset(Socket socket, int length) {
+        try {
+            return socket.getInputStream().readNBytes(length);
+        } catch (IOException reset) {
+            return new byte[0];
+        }
+    }
+
+    private static void writeEndlessly(Socket socket, byte[] chunk) {
+        try {
+            while (true) {
+                socket.getOutputStream().write(chunk);
+            }
+        } catch (IOException closed) {
+            // The node or the test closed the connection.
+        }
+    }
+
     private record Received(int status, boolean complete, long bytes) {}
 
     private static boolean served(SidecarFleet fleet, String path, String id) {
--- a/src/test/java/org/azureshed/traffic/WirePropertyTest.java
+++ b/src/test/java/org/azureshed/traffic/WirePropertyTest.java
@@ -15,7 +15,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.azureshed.directory.Condition;
 import org.azureshed.model.Endpoint;
 
 /** Properties of what other processes send: headers between nodes, addresses and requests. */
@@ -80,7 +79,7 @@
     /** Each request gets at most one reply, and no exception leaves the handler. */
     @Property
     void controlRequestIsAnsweredOrEnded(@ForAll("requests") List<String> parts) {
-        Failures failures = new Failures();
+        RecordingEvents failures = new RecordingEvents();
         List<String> handled = new ArrayList<>();
         EmbeddedChannel channel =
                 new EmbeddedChannel(
@@ -105,30 +104,6 @@
         }
         int replies = out.toString().split("HTTP/1.1 ", -1).length - 1;
         assertTrue(replies <= handled.size(), out::toString);
-        assertTrue(failures.errors.isEmpty(), failures.errors::toString);
-    }
-
-    private static final class Failures implements TrafficEvents {
-        private final List<Throwable> errors = new ArrayList<>();
-
-        @Override
-        public void entryFinished(String outcome, long nanos, Object... pairs) {}
-
-        @Override
-        public void hostFinished(String outcome, long nanos, Object... pairs) {}
-
-        @Override
-        public void offerRefused(String outcome, long nanos, Object... pairs) {}
-
-        @Override
-        public void targetConditionChanged(String target, Condition condition, Object... pairs) {}
-
-        @Override
-        public void anomaly(String cause, Object... pairs) {}
-
-        @Override
-        public void unexpected(String where, Throwable error) {
-            errors.add(error);
-        }
+        assertTrue(failures.errors().isEmpty(), failures.errors()::toString);
     }
 }
