--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -146,18 +146,7 @@
                         settings.targetAddress(),
                         protocol.names(),
                         metrics);
-        UnusableEntries unusable =
-                new UnusableEntries(
-                        metrics::unusableEntry,
-                        (kind, name, cause) ->
-                                log.write(
-                                        "entry_unusable",
-                                        "kind",
-                                        kind,
-                                        "name",
-                                        name,
-                                        "cause",
-                                        cause));
+        UnusableEntries unusable = unusableEntries();
         FleetStore store = protocol.store().apply(client, metrics::storeCall);
         this.fleet =
                 new FleetSync(
@@ -183,6 +172,13 @@
         fleet.onPreviousTarget(target::restore);
     }
 
+    private UnusableEntries unusableEntries() {
+        return new UnusableEntries(
+                metrics::unusableEntry,
+                (kind, name, cause) ->
+                        log.write("entry_unusable", "kind", kind, "name", name, "cause", cause));
+    }
+
     /**
      * Opens the listeners and starts loading the configuration and the directory. Does nothing if
      * the node has already been stopped.
