Take requests during a stop only if they can end in time

StopSchedule replaces both fractions. A request whose deadline lies before the end of the stop is always taken, any other one only while its caller cannot know of the stop and while there is time for a run; the rest is refused at once as not run. The listener stays open until the node is idle, so the short calls of the local target are served as long as the work that needs them.

--- a/src/main/java/org/azureshed/dispatch/Exchange.java
+++ b/src/main/java/org/azureshed/dispatch/Exchange.java
@@ -99,6 +99,10 @@
     private long lastAdmittedNanos;
 
     private boolean hedged;
+
+    /** Whether the node's stop forbids sending a request that has not run. */
+    private boolean startsEnded;
+
     private boolean done;
 
     /** An attempt that is offered, queued or running at a node. */
@@ -160,6 +164,7 @@
             case ExchangeEvent.Shed shed -> onShed(shed, nowNanos);
             case ExchangeEvent.OutcomeUnknown unknown -> onOutcomeUnknown(unknown, nowNanos);
             case ExchangeEvent.Answered answered -> onAnswered(answered, nowNanos);
+            case ExchangeEvent.StartsEnded ignored -> onStartsEnded();
             case ExchangeEvent.Stopped ignored ->
                     abort(RefusalReason.NODE_DRAINING, "node stopped");
             case ExchangeEvent.TimerFired ignored -> onTimerFired(nowNanos);
@@ -306,10 +311,20 @@
         setTimer(nowNanos);
     }
 
+    private void onStartsEnded() {
+        startsEnded = true;
+        if (!mayHaveRunAnywhere()) {
+            abort(RefusalReason.NODE_DRAINING, "node stopping");
+        }
+    }
+
+    private boolean mayHaveRunAnywhere() {
+        return mayHaveRun || attempts.values().stream().anyMatch(attempt -> attempt.admitted);
+    }
+
     /** Ends the request: refused if no target can have received it, otherwise failed. */
     private void abort(RefusalReason refusal, String cause) {
-        boolean unknown =
-                mayHaveRun || attempts.values().stream().anyMatch(attempt -> attempt.admitted);
+        boolean unknown = mayHaveRunAnywhere();
         cancelAll();
         done = true;
         effects.add(
@@ -354,6 +369,10 @@
     }
 
     private void offerNext(long nowNanos) {
+        if (startsEnded && !mayHaveRunAnywhere()) {
+            abort(RefusalReason.NODE_DRAINING, "node stopping");
+            return;
+        }
         if (budgetRefusals >= MAX_BUDGET_REFUSALS) {
             finishIfIdle(nowNanos, BAD_GATEWAY, "retry budget used up");
             return;
--- a/src/main/java/org/azureshed/dispatch/ExchangeEvent.java
+++ b/src/main/java/org/azureshed/dispatch/ExchangeEvent.java
@@ -52,6 +52,12 @@
      */
     record Answered(int attempt, int status) implements ExchangeEvent {}
 
+    /**
+     * The node stops: no target may receive the request any more, unless one already has. See
+     * {@link StopSchedule}.
+     */
+    record StartsEnded() implements ExchangeEvent {}
+
     /** The node is about to exit, so the caller must be answered now. */
     record Stopped() implements ExchangeEvent {}
 
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.azureshed.directory.Directory;
+import org.azureshed.dispatch.StopSchedule;
 import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.host.HostGate;
@@ -43,18 +44,6 @@
     private static final long TARGET_IDLE_MILLIS = 30_000;
     private static final long IDLE_CHECK_MILLIS = 1_000;
 
-    /** Callers detect a draining node by two failed health checks, one a second. */
-    private static final long MIN_STOP_MILLIS = 2_300;
-
-    /** Part of the grace period reserved for ending the process. */
-    private static final long STOP_MARGIN_MILLIS = 1_000;
-
-    /**
-     * Fraction of the grace period in which a stopping node still accepts requests; the rest is
-     * left for completing them.
-     */
-    private static final double LISTENING_FRACTION = 0.6;
-
     private static final long STOP_CHECK_MILLIS = 50;
 
     private final SidecarSettings settings;
@@ -252,10 +241,11 @@
         CountDownLatch ended = new CountDownLatch(1);
         loop.execute(
                 () -> {
-                    entry.stop();
+                    StopSchedule schedule = StopSchedule.of(startNanos, settings.graceMillis());
+                    entry.stop(schedule);
                     host.stop();
                     host.publish();
-                    awaitIdle(startNanos, ended);
+                    awaitIdle(schedule, ended);
                 });
         try {
             ended.await(settings.graceMillis(), TimeUnit.MILLISECONDS);
@@ -279,28 +269,31 @@
     }
 
     /**
-     * Checks repeatedly until no request is in flight, or for a fraction of the grace period if
-     * callers keep sending requests. Then closes the listener and the idle connections, so that no
-     * request is read after the last check, and waits for the remaining in-flight requests.
+     * Checks repeatedly until no request is in flight and callers have noticed the stop, or until
+     * the end of the stop. Then closes the listener and the idle connections, so that no request is
+     * read after the last check. Until then a request that the stop leaves no time for is refused
+     * rather than met by a closed listener, and a short call of the local target is still served.
      */
-    private void awaitIdle(long startNanos, CountDownLatch ended) {
-        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    private void awaitIdle(StopSchedule schedule, CountDownLatch ended) {
+        long now = System.nanoTime();
         boolean idle = entry.activeCount() == 0 && host.activeCount() == 0;
-        boolean graceNearlyOver = elapsed > settings.graceMillis() - STOP_MARGIN_MILLIS;
-        boolean listeningTimeOver = elapsed > settings.graceMillis() * LISTENING_FRACTION;
-        if ((idle && elapsed > MIN_STOP_MILLIS || listeningTimeOver) && callerListener.isOpen()) {
+        boolean over = schedule.over(now);
+        if ((idle && schedule.noticed(now) || over) && callerListener.isOpen()) {
             callerListener.close();
             entry.closeIdle();
         }
-        if (graceNearlyOver) {
+        if (schedule.startsEnded(now)) {
+            entry.refuseWaiting();
+        }
+        if (over) {
             entry.endRequests();
         }
-        if (graceNearlyOver || idle && !callerListener.isOpen() && entry.connectionCount() == 0) {
+        if (over || idle && !callerListener.isOpen() && entry.connectionCount() == 0) {
             // Leaves the event loop time to write the last answers.
             loop.schedule(ended::countDown, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(
-                    () -> awaitIdle(startNanos, ended), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                    () -> awaitIdle(schedule, ended), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -180,7 +180,18 @@
                         startNanos,
                         deadlineNanos,
                         service.randomFraction());
-        handle(new ExchangeEvent.Started());
+        if (service.mayStart(startNanos, deadlineNanos)) {
+            handle(new ExchangeEvent.Started());
+        } else {
+            handle(new ExchangeEvent.StartsEnded());
+        }
+    }
+
+    /** Refuses the request if no target has received it and the node's stop leaves it no time. */
+    void refuseIfWaiting() {
+        if (exchange != null && !service.mayStart(startNanos, deadlineNanos)) {
+            handle(new ExchangeEvent.StartsEnded());
+        }
     }
 
     /**
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -192,6 +192,13 @@
         }
     }
 
+    /** Refuses the in-flight request if it waits for a target for which there is no time left. */
+    void refuseIfWaiting() {
+        if (exchange != null) {
+            exchange.refuseIfWaiting();
+        }
+    }
+
     /** Ends the in-flight request, if there is one, because the process exits. */
     void endRequest() {
         if (exchange != null) {
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -14,6 +14,7 @@
 import org.azureshed.dispatch.ForwardRoute;
 import org.azureshed.dispatch.PathBackoff;
 import org.azureshed.dispatch.ServiceSplit;
+import org.azureshed.dispatch.StopSchedule;
 import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.dispatch.TargetHints;
 import org.azureshed.dispatch.TargetOrder;
@@ -39,7 +40,7 @@
     private final TrafficEvents events;
     private Optional<TrafficConfiguration> configuration = Optional.empty();
     private final Set<EntryHandler> connections = new HashSet<>();
-    private boolean stopping;
+    private Optional<StopSchedule> stop = Optional.empty();
     private int active;
     private long bufferedBytes;
 
@@ -102,9 +103,18 @@
         Set.copyOf(connections).forEach(EntryHandler::endRequest);
     }
 
-    /** Starts closing connections: each gets {@code Connection: close} with its next answer. */
-    public void stop() {
-        stopping = true;
+    /**
+     * Starts closing connections: each gets {@code Connection: close} with its next answer.
+     *
+     * @param schedule decides which requests are still sent to targets
+     */
+    public void stop(StopSchedule schedule) {
+        stop = Optional.of(schedule);
+    }
+
+    /** Refuses the requests that wait for a target and that the stop leaves no time for. */
+    public void refuseWaiting() {
+        Set.copyOf(connections).forEach(EntryHandler::refuseIfWaiting);
     }
 
     /**
@@ -126,7 +136,13 @@
     }
 
     boolean stopping() {
-        return stopping;
+        return stop.isPresent();
+    }
+
+    /** Whether a request that no target has received yet may be sent to one. */
+    boolean mayStart(long arrivalNanos, long deadlineNanos) {
+        return stop.map(plan -> plan.mayStart(arrivalNanos, deadlineNanos, System.nanoTime()))
+                .orElse(true);
     }
 
     Optional<TrafficConfiguration> configuration() {
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -253,6 +253,7 @@
 
     static Stream<Arguments> offers() {
         ExchangeEvent timerFired = new ExchangeEvent.TimerFired();
+        ExchangeEvent startsEnded = new ExchangeEvent.StartsEnded();
         return Stream.of(
                 // Busy targets are asked to queue the request, the shortest expected wait first.
                 Arguments.of(
@@ -290,7 +291,36 @@
                         1,
                         List.of(START, timerFired),
                         List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")),
-                // The same holds when the node stops.
+                // A stopping node refuses what no target has received, and lets the rest end.
+                Arguments.of(
+                        false,
+                        2,
+                        1,
+                        List.of(START, refused(0, BUSY), startsEnded),
+                        List.of("n0 IMMEDIATE", "n0 QUEUE", "cancel 1", "refuse NODE_DRAINING")),
+                Arguments.of(false, 2, 1, List.of(startsEnded), List.of("refuse NODE_DRAINING")),
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(
+                                START,
+                                admitted(0),
+                                startsEnded,
+                                new ExchangeEvent.Answered(0, 200)),
+                        List.of("n0 IMMEDIATE", "deliver 0")),
+                // It sends a request that turns out not to have run to no further target.
+                Arguments.of(
+                        false,
+                        2,
+                        2,
+                        List.of(
+                                START,
+                                admitted(0),
+                                startsEnded,
+                                new ExchangeEvent.Shed(0, RefusalReason.TARGET_SHED)),
+                        List.of("n0 IMMEDIATE", "refuse NODE_DRAINING")),
+                // At its exit the answer says whether the request may have run.
                 Arguments.of(
                         false,
                         2,
