Send pending answers before a stopping node closes an idle connection

A caller that reads slowly lost the rest of answers that its stopping node had already written: EntryHandler.closeIfIdle closed the channel, which drops what is not flushed.

The wait is bounded by the end of the stop.

--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -188,7 +188,8 @@
     void closeIfIdle() {
         if (exchange == null && head == null && !closing) {
             closing = true;
-            context.close();
+            // Flushes first: a slow caller may not have received its last answer yet.
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
 
--- a/src/test/java/org/azureshed/platform/PlannedStopTest.java
+++ b/src/test/java/org/azureshed/platform/PlannedStopTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -135,6 +136,51 @@
         }
     }
 
+    /**
+     * Guards against answers whose rest is dropped, because their caller reads slowly and the node
+     * closes the connection as idle.
+     */
+    @Test
+    void answersAreCompletedForASlowReader() throws Exception {
+        int answers = 24;
+        String body = "x".repeat(1_000_000);
+        try (SidecarFleet fleet = new SidecarFleet("shop");
+                ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
+                Socket caller = new Socket(fleet.ip(0), SidecarFleet.ENTRY_PORT)) {
+            fleet.targets.getFirst().behaviour(request -> new Behaviour.Answer(200, 0, body));
+            for (int i = 0; i < answers; i++) {
+                String head =
+                        "GET /long/a HTTP/1.1\r\nHost: "
+                                + ProtocolRequests.HOST
+                                + "\r\nX-Azureshed-Request-Id: slow-"
+                                + i
+                                + "\r\nX-Azureshed-Deadline-Ms: 20000\r\n\r\n";
+                caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            }
+            SidecarFleet.await(
+                    "the last request runs",
+                    () -> fleet.targets.getFirst().executions().size() == answers);
+            TimeUnit.MILLISECONDS.sleep(300);
+            final Future<?> stop = callers.submit(() -> fleet.nodes.getFirst().stop());
+            TimeUnit.MILLISECONDS.sleep(3_000);
+            caller.setSoTimeout(3_000);
+            long received = readToEnd(caller);
+            assertTrue(received > answers * body.length(), () -> received + " bytes");
+            stop.get();
+        }
+    }
+
+    private static long readToEnd(Socket caller) throws IOException {
+        byte[] buffer = new byte[64 << 10];
+        long received = 0;
+        for (int read = caller.getInputStream().read(buffer);
+                read >= 0;
+                read = caller.getInputStream().read(buffer)) {
+            received += read;
+        }
+        return received;
+    }
+
     /** Guards against a stopping node whose host side takes work for its target and cuts it off. */
     @Test
     void hostSideOfAStoppingNodeTakesNoNewWork() throws Exception {
