Keep acknowledged departures through a restart of the node

A starting node replaced its entry in the store before it had read the former one, so what the former process had waited to store was lost.

Entries now name the acknowledged departures, by id and start. A restarted process reads its former entry before it replaces it, adopts the departures, and uses its target only then, or after 2 s if the store does not answer. OwnEntryStore holds the reading and writing, taken out of FleetSync.

Draining is a departure, too, and final for its start: the nodes that have been told of it no longer use this start.

--- a/src/main/java/org/azureshed/directory/NodeEntry.java
+++ b/src/main/java/org/azureshed/directory/NodeEntry.java
@@ -14,6 +14,7 @@
  * @param incarnation grows with each start of the node's process
  * @param revision grows with each change within an incarnation
  * @param target the target beside the node, or empty if none has announced itself
+ * @param departures departures of targets beside the node that it has acknowledged
  */
 public record NodeEntry(
         String name,
@@ -21,13 +22,15 @@
         Endpoint address,
         long incarnation,
         long revision,
-        Optional<TargetEntry> target) {
+        Optional<TargetEntry> target,
+        Departures departures) {
     /** Checks the arguments. */
     public NodeEntry {
         checkNotNull(name, "name");
         checkNotNull(availabilityZone, "availabilityZone");
         checkNotNull(address, "address");
         checkNotNull(target, "target");
+        checkNotNull(departures, "departures");
     }
 
     /**
--- a/src/main/java/org/azureshed/directory/TargetEntry.java
+++ b/src/main/java/org/azureshed/directory/TargetEntry.java
@@ -35,10 +35,20 @@
         checkIdAndSlots(id, slots);
     }
 
-    /** Checks what a heartbeat and a published entry have in common. */
-    static void checkIdAndSlots(String id, int slots) {
+    /**
+     * Checks the identifier of a target.
+     *
+     * @param id the identifier
+     * @throws IllegalArgumentException if it is empty, too long or has a reserved character
+     */
+    public static void checkId(String id) {
         checkArgument(!id.isEmpty() && id.length() <= MAX_ID_LENGTH, "id is empty or too long");
         checkArgument(ID_CHARACTERS.matchesAllOf(id), "id \"%s\" has a reserved character", id);
+    }
+
+    /** Checks what a heartbeat and a published entry have in common. */
+    static void checkIdAndSlots(String id, int slots) {
+        checkId(id);
         checkArgument(
                 slots > 0 && slots <= MAX_SLOTS,
                 "slots must be from 1 to %s, not %s",
--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -1,7 +1,5 @@
 package org.azureshed.directory;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.model.Endpoint;
@@ -10,24 +8,21 @@
 /**
  * Latest announced state of the local target. Late heartbeats of an earlier start, and heartbeats
  * of a start that has announced its departure, are ignored. Not thread-safe.
+ *
+ * <p>A start departs when it reports that it is draining or deregisters. This is final: the same
+ * start is not used again, neither by this process nor by a later one that adopts the {@link
+ * #departures()}. Only a later start, or another id, ends it.
  */
 public final class TargetRegister {
-    /** Departed targets that are kept; a late heartbeat arrives within seconds. */
-    private static final int MAX_DEPARTED = 64;
-
     private final Endpoint localAddress;
     private final long heartbeatTimeoutNanos;
-    private final Map<String, Long> departedStarts =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-                    return size() > MAX_DEPARTED;
-                }
-            };
+    private Departures departures = Departures.NONE;
     private Heartbeat latest;
-    private boolean hasDeparted;
     private long lastHeartbeatNanos;
 
+    /** Whether the latest target has deregistered, or left according to an earlier process. */
+    private boolean hasDeparted;
+
     /** Effect of a heartbeat or departure. */
     public enum Change {
         /** It was ignored, since it is outdated or concerns another address. */
@@ -58,7 +53,8 @@
      * @return effect of the heartbeat
      */
     public Change apply(Heartbeat heartbeat, long nowNanos) {
-        if (!heartbeat.address().equals(localAddress) || isDeparted(heartbeat)) {
+        if (!heartbeat.address().equals(localAddress)
+                || departures.covers(heartbeat.id(), heartbeat.startMillis())) {
             return Change.OUTDATED;
         }
         if (latest != null && !supersedes(heartbeat, latest)) {
@@ -68,6 +64,9 @@
         latest = heartbeat;
         hasDeparted = false;
         lastHeartbeatNanos = nowNanos;
+        if (heartbeat.state() == TargetState.DRAINING) {
+            departures = departures.with(heartbeat.id(), heartbeat.startMillis());
+        }
         return before.equals(current(nowNanos)) ? Change.NONE : Change.CHANGED;
     }
 
@@ -86,7 +85,7 @@
         }
         long departedStartMillis =
                 isCurrentTarget ? Math.max(startMillis, latest.startMillis()) : startMillis;
-        departedStarts.merge(id, departedStartMillis, Math::max);
+        departures = departures.with(id, departedStartMillis);
         if (!isCurrentTarget || hasDeparted) {
             return Change.NONE;
         }
@@ -94,6 +93,24 @@
         return Change.CHANGED;
     }
 
+    /**
+     * Takes over departures that an earlier process of this node has acknowledged.
+     *
+     * @param earlier the departures
+     * @return true if the current target turns out to have departed
+     */
+    public boolean adopt(Departures earlier) {
+        departures = departures.union(earlier);
+        if (latest == null
+                || hasDeparted
+                || latest.state() == TargetState.DRAINING
+                || !departures.covers(latest.id(), latest.startMillis())) {
+            return false;
+        }
+        hasDeparted = true;
+        return true;
+    }
+
     /**
      * Restores the target that this node published before it restarted. A departed target stays
      * departed; a usable one receives requests again before its next heartbeat.
@@ -104,7 +121,7 @@
      */
     public boolean restore(TargetEntry entry, long nowNanos) {
         if (!entry.condition().usable()) {
-            departedStarts.merge(entry.id(), entry.startMillis(), Math::max);
+            departures = departures.with(entry.id(), entry.startMillis());
             return false;
         }
         if (latest != null) {
@@ -143,6 +160,15 @@
                         condition(nowNanos)));
     }
 
+    /**
+     * The departures to remember beyond this process.
+     *
+     * @return acknowledged departures, including those of earlier processes
+     */
+    public Departures departures() {
+        return departures;
+    }
+
     private Condition condition(long nowNanos) {
         long sinceHeartbeatNanos = nowNanos - lastHeartbeatNanos;
         if (hasDeparted || sinceHeartbeatNanos > heartbeatTimeoutNanos) {
@@ -156,11 +182,6 @@
                 : Condition.SERVING;
     }
 
-    private boolean isDeparted(Heartbeat heartbeat) {
-        Long departedStartMillis = departedStarts.get(heartbeat.id());
-        return departedStartMillis != null && heartbeat.startMillis() <= departedStartMillis;
-    }
-
     private static boolean supersedes(Heartbeat heartbeat, Heartbeat known) {
         if (heartbeat.startMillis() != known.startMillis()) {
             return heartbeat.startMillis() > known.startMillis();
--- a/src/main/java/org/azureshed/platform/HeartbeatHandler.java
+++ b/src/main/java/org/azureshed/platform/HeartbeatHandler.java
@@ -59,6 +59,7 @@
                 yield () -> listener.heartbeat(heartbeat, acknowledge);
             }
             case "DELETE" -> {
+                TargetEntry.checkId(id);
                 long startMillis = body.length == 0 ? 0 : startMillis(json.readTree(body));
                 yield () -> listener.departed(id, startMillis, acknowledge);
             }
--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -52,6 +52,12 @@
         call("GET", path, EMPTY_BODY, RESPONSE_TIMEOUT_MILLIS, body -> page(kind, body), done);
     }
 
+    @Override
+    public void read(String kind, String name, Consumer<Result> done) {
+        String path = path(kind, name);
+        call("GET", path, EMPTY_BODY, RESPONSE_TIMEOUT_MILLIS, body -> object(kind, body), done);
+    }
+
     @Override
     public void watch(String kind, long revision, long waitMillis, Consumer<Result> done) {
         String path = path(kind) + "?watch=" + revision + "&waitMs=" + waitMillis;
@@ -131,6 +137,12 @@
         return new Result.Done(List.of(), List.of(), 0, Optional.empty());
     }
 
+    Result object(String kind, byte[] body) throws IOException {
+        Entries read = new Entries(kind);
+        read.add(JsonSlice.of(body), false);
+        return read.done(0, Optional.empty());
+    }
+
     Result page(String kind, byte[] body) throws IOException {
         JsonSlice page = JsonSlice.of(body);
         Entries read = new Entries(kind);
--- a/src/main/java/org/azureshed/sidecar/FleetStore.java
+++ b/src/main/java/org/azureshed/sidecar/FleetStore.java
@@ -40,8 +40,8 @@
         /**
          * The call succeeded.
          *
-         * @param entries the readable objects of a listing or watch; empty for a write
-         * @param unreadable the objects of a listing or watch that cannot be decoded
+         * @param entries the readable objects of a listing, read or watch; empty for a write
+         * @param unreadable the objects of a listing, read or watch that cannot be decoded
          * @param revision current revision of the store; 0 for a write
          * @param next name after which a listing continues on the next page; empty if it is
          *     complete
@@ -90,6 +90,15 @@
      */
     void list(String kind, String after, boolean staleReadAllowed, Consumer<Result> done);
 
+    /**
+     * Reads one object.
+     *
+     * @param kind kind of the object
+     * @param name name of the object
+     * @param done receives the object, or that it is missing
+     */
+    void read(String kind, String name, Consumer<Result> done);
+
     /**
      * Waits for changes of the objects of a kind.
      *
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.azureshed.directory.Condition;
+import org.azureshed.directory.Departures;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
@@ -63,14 +64,15 @@
     private final PeerMessageCodec codec;
     private final UnusableEntries unusable;
     private final TrafficEvents events;
-    private final Backoff writeBackoff;
-    private final List<Runnable> afterWrite = new ArrayList<>();
+    private final Backoff listBackoff;
+    private final OwnEntryStore ownStore;
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
+    private Consumer<Departures> onDepartures = departures -> {};
     private NodeEntry own;
-    private Optional<TargetEntry> storedTarget = Optional.empty();
-    private boolean ownObjectExists;
-    private boolean writing;
-    private boolean writePending;
+
+    /** Whether other nodes have not been told of the latest change of this node's entry. */
+    private boolean announcePending;
+
     private boolean listed;
     private long lastReclaimNanos = System.nanoTime() - MIN_RECLAIM_NANOS;
 
@@ -100,7 +102,7 @@
         this.unusable = unusable;
         this.events = events;
         this.log = log;
-        this.writeBackoff = new Backoff(random.split());
+        this.listBackoff = new Backoff(random.split());
         this.own =
                 new NodeEntry(
                         settings.node(),
@@ -108,15 +110,22 @@
                         settings.advertisedHostAddress(),
                         incarnation,
                         0,
-                        Optional.empty());
-        // After an earlier run the store has an object to replace; a first start must create it.
-        this.ownObjectExists = !settings.firstStart();
+                        Optional.empty(),
+                        Departures.NONE);
+        this.ownStore =
+                new OwnEntryStore(
+                        store,
+                        own.name(),
+                        settings.firstStart(),
+                        () -> own,
+                        loop,
+                        new Backoff(random.split()),
+                        log);
     }
 
     void start() {
         directory.merge(own);
-        writePending = true;
-        write();
+        ownStore.start(former -> mergeStored(former), this::onStored);
         // Digest exchanges also repair broadcasts that a node, this one or another, missed while it
         // restarted.
         loop.schedule(this::gossip, random.nextLong(GOSSIP_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
@@ -126,9 +135,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Sets the listener for the target that this node had published before it restarted. */
-    void onPreviousTarget(Consumer<TargetEntry> listener) {
-        onPreviousTarget = listener;
+    /**
+     * Sets the listeners for what this node had published before it restarted.
+     *
+     * @param target receives the target
+     * @param departures receives the acknowledged departures, before the target
+     */
+    void onPrevious(Consumer<TargetEntry> target, Consumer<Departures> departures) {
+        onPreviousTarget = target;
+        onDepartures = departures;
     }
 
     /** Whether the initial listing of the nodes is complete. */
@@ -138,12 +153,32 @@
 
     /** Broadcasts a change of the local target, and stores it unless it is transient. */
     void targetChanged(Optional<TargetEntry> target) {
-        update(own.incarnation(), target);
+        update(own.incarnation(), target, own.departures());
+        announce();
+        Optional<TargetEntry> storedTarget = ownStore.stored().flatMap(NodeEntry::target);
         if (!storedTarget
                 .map(FleetSync::withoutTransientCondition)
                 .equals(target.map(FleetSync::withoutTransientCondition))) {
-            writePending = true;
-            write();
+            ownStore.entryChanged();
+        }
+    }
+
+    /**
+     * Adds departures to this node's entry and stores them. The other nodes learn of them with the
+     * next change of the target, or by {@link #announceChanges()}.
+     */
+    void departuresAcknowledged(Departures departures) {
+        if (!own.departures().containsAll(departures)) {
+            update(own.incarnation(), own.target(), own.departures().union(departures));
+            announcePending = true;
+            ownStore.entryChanged();
+        }
+    }
+
+    /** Broadcasts changes of this node's entry that have not been broadcast yet. */
+    void announceChanges() {
+        if (announcePending) {
+            announce();
         }
     }
 
@@ -156,11 +191,12 @@
 
     /** Runs a task once the current entry of this node is stored; at once if it already is. */
     void whenStored(Runnable task) {
-        if (!writing && !writePending) {
-            task.run();
-        } else {
-            afterWrite.add(task);
-        }
+        ownStore.whenStored(task);
+    }
+
+    /** Whether it is known what the former process of this node has stored. */
+    boolean formerEntryKnown() {
+        return ownStore.formerKnown();
     }
 
     /**
@@ -171,7 +207,7 @@
         return target.condition().usable() ? target.withCondition(Condition.SERVING) : target;
     }
 
-    private void update(long incarnation, Optional<TargetEntry> target) {
+    private void update(long incarnation, Optional<TargetEntry> target, Departures departures) {
         own =
                 new NodeEntry(
                         own.name(),
@@ -179,12 +215,13 @@
                         own.address(),
                         incarnation,
                         own.revision() + 1,
-                        target);
+                        target,
+                        departures);
         directory.merge(own);
-        announce();
     }
 
     private void announce() {
+        announcePending = false;
         byte[] body = codec.bytes(message(List.of(own)));
         for (NodeEntry node : directory.nodes()) {
             if (!node.name().equals(own.name())) {
@@ -193,56 +230,6 @@
         }
     }
 
-    private void write() {
-        if (writing || !writePending) {
-            return;
-        }
-        writing = true;
-        writePending = false;
-        NodeEntry written = own;
-        Consumer<FleetStore.Result> done = result -> onWritten(written, result);
-        if (ownObjectExists) {
-            store.replace(KIND, own.name(), NodeEntryCodec.encode(written), done);
-        } else {
-            store.create(KIND, own.name(), NodeEntryCodec.encode(written), done);
-        }
-    }
-
-    private void onWritten(NodeEntry written, FleetStore.Result result) {
-        writing = false;
-        switch (result) {
-            case FleetStore.Result.Done ignored -> {
-                ownObjectExists = true;
-                storedTarget = written.target();
-                writeBackoff.reset();
-                if (!listed) {
-                    list("");
-                }
-            }
-            case FleetStore.Result.Missing ignored -> {
-                ownObjectExists = false;
-                writePending = true;
-            }
-            case FleetStore.Result.Conflict ignored -> {
-                ownObjectExists = true;
-                writePending = true;
-            }
-            default -> {
-                log.write("entry_write_failed", "result", result);
-                writePending = true;
-                loop.schedule(this::write, writeBackoff.next(), TimeUnit.MILLISECONDS);
-                return;
-            }
-        }
-        if (writePending) {
-            write();
-        } else {
-            List<Runnable> tasks = List.copyOf(afterWrite);
-            afterWrite.clear();
-            tasks.forEach(Runnable::run);
-        }
-    }
-
     private void list(String after) {
         store.list(
                 KIND,
@@ -253,12 +240,18 @@
                         onListing(result, after, false);
                     } catch (RuntimeException e) {
                         events.unexpected("node_listing", e);
-                        loop.schedule(
-                                () -> list(after), writeBackoff.next(), TimeUnit.MILLISECONDS);
+                        loop.schedule(() -> list(after), listBackoff.next(), TimeUnit.MILLISECONDS);
                     }
                 });
     }
 
+    private void onStored() {
+        listBackoff.reset();
+        if (!listed) {
+            list("");
+        }
+    }
+
     private void listPeriodically() {
         store.list(KIND, "", true, result -> onListing(result, "", true));
         loop.schedule(this::listPeriodically, LISTING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -268,16 +261,11 @@
         if (!(result instanceof FleetStore.Result.Done done)) {
             log.write("node_listing_failed", "result", result);
             if (!stale) {
-                loop.schedule(() -> list(after), writeBackoff.next(), TimeUnit.MILLISECONDS);
+                loop.schedule(() -> list(after), listBackoff.next(), TimeUnit.MILLISECONDS);
             }
             return;
         }
-        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
-        boolean changed = false;
-        for (FleetStore.StoredEntry stored : done.entries()) {
-            Optional<NodeEntry> entry = decode(stored);
-            changed |= entry.isPresent() && mergeEntry(entry.get());
-        }
+        boolean changed = mergeStored(done);
         // A page that does not advance would be read forever.
         if (done.next().filter(name -> name.compareTo(after) > 0).isPresent()) {
             String next = done.next().get();
@@ -291,6 +279,17 @@
         }
     }
 
+    /** Merges the entries of a store response; returns whether one of another node changed. */
+    private boolean mergeStored(FleetStore.Result.Done done) {
+        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
+        boolean changed = false;
+        for (FleetStore.StoredEntry stored : done.entries()) {
+            Optional<NodeEntry> entry = decode(stored);
+            changed |= entry.isPresent() && mergeEntry(entry.get());
+        }
+        return changed;
+    }
+
     private Optional<NodeEntry> decode(FleetStore.StoredEntry stored) {
         try {
             NodeEntry entry = NodeEntryCodec.decode(stored.content(), System.currentTimeMillis());
@@ -316,6 +315,10 @@
             }
             return directory.merge(entry);
         }
+        if (!own.departures().containsAll(entry.departures())) {
+            log.write("departures_restored", "departures", entry.departures().lastStarts());
+            onDepartures.accept(entry.departures());
+        }
         if (entry.incarnation() == own.incarnation() && entry.revision() <= own.revision()) {
             return false;
         }
@@ -343,9 +346,9 @@
 
     private void raiseIncarnationAbove(NodeEntry entry) {
         log.write("incarnation_raised", "from", own.incarnation(), "to", entry.incarnation());
-        update(entry.incarnation() + 1, own.target());
-        writePending = true;
-        write();
+        update(entry.incarnation() + 1, own.target(), own.departures());
+        announce();
+        ownStore.entryChanged();
     }
 
     private void gossip() {
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.directory.Departures;
 import org.azureshed.directory.Heartbeat;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.directory.TargetRegister;
@@ -23,6 +24,13 @@
      */
     private static final long MAX_STORE_WAIT_MILLIS = 500;
 
+    /**
+     * Longest time after a start in which the target is not used because the former entry of this
+     * node, which tells what has departed, cannot be read. Other nodes use a restarted one no
+     * sooner.
+     */
+    private static final long MAX_FORMER_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final int MAX_MISSED_HEARTBEATS = 4;
     private static final long TICK_MILLIS = 250;
 
@@ -32,6 +40,7 @@
     private final EventLoop loop;
     private final TrafficEvents events;
     private final DecisionLog log;
+    private final long startNanos = System.nanoTime();
 
     LocalTarget(
             SidecarSettings settings,
@@ -72,6 +81,12 @@
         apply();
     }
 
+    /** Takes over departures that a previous process of this node had acknowledged. */
+    void adopt(Departures departures) {
+        register.adopt(departures);
+        apply();
+    }
+
     @Override
     public void heartbeat(Heartbeat heartbeat, Runnable acknowledge) {
         TargetRegister.Change change = register.apply(heartbeat, System.nanoTime());
@@ -128,6 +143,11 @@
     }
 
     private void apply() {
-        host.apply(register.current(System.nanoTime()));
+        long now = System.nanoTime();
+        fleet.departuresAcknowledged(register.departures());
+        if (fleet.formerEntryKnown() || now - startNanos > MAX_FORMER_WAIT_NANOS) {
+            host.apply(register.current(now));
+        }
+        fleet.announceChanges();
     }
 }
--- a/src/main/java/org/azureshed/sidecar/NodeEntryCodec.java
+++ b/src/main/java/org/azureshed/sidecar/NodeEntryCodec.java
@@ -1,11 +1,16 @@
 package org.azureshed.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.directory.Condition;
+import org.azureshed.directory.Departures;
 import org.azureshed.directory.NodeEntry;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.json.JsonFields;
@@ -41,6 +46,11 @@
                                         .put("service", target.service())
                                         .put("slots", target.slots())
                                         .put("condition", target.condition().name()));
+        if (!entry.departures().equals(Departures.NONE)) {
+            ArrayNode departed = json.putArray("departed");
+            new TreeMap<>(entry.departures().lastStarts())
+                    .forEach((id, start) -> departed.addObject().put("id", id).put("born", start));
+        }
         return json;
     }
 
@@ -63,7 +73,25 @@
                 JsonFields.wholeNumber(
                         json, "incarnation", 0, nowMillis + MAX_INCARNATION_AHEAD_MILLIS),
                 JsonFields.wholeNumber(json, "revision", 0, MAX_REVISION),
-                target);
+                target,
+                decodeDepartures(json.path("departed")));
+    }
+
+    private static Departures decodeDepartures(JsonNode json) {
+        if (json.isMissingNode()) {
+            return Departures.NONE;
+        }
+        if (!json.isArray()) {
+            throw new IllegalArgumentException("departed is not a list");
+        }
+        Map<String, Long> lastStarts = new HashMap<>();
+        for (JsonNode departure : json) {
+            lastStarts.merge(
+                    JsonFields.text(departure, "id"),
+                    JsonFields.wholeNumber(departure, "born", 0, Long.MAX_VALUE),
+                    Math::max);
+        }
+        return new Departures(lastStarts);
     }
 
     private static TargetEntry decodeTarget(JsonNode json) {
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -158,7 +158,7 @@
                         store, loop, configuration, random.split(), unusable, metrics, log);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
-        fleet.onPreviousTarget(target::restore);
+        fleet.onPrevious(target::restore, target::adopt);
     }
 
     private UnusableEntries unusableEntries() {
--- /dev/null
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -0,0 +1,82 @@
+package org.azureshed.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Checks with whole nodes that a target whose departure was acknowledged gets no request again. The
+ * departed target is the only one in its availability zone, and later the only one left.
+ */
+class DepartureTest {
+    private static final int LEAVING = 1;
+
+    /**
+     * Guards against a restarted node that forgets an acknowledged departure and takes a late
+     * heartbeat for a new one.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"DELETE", "draining"})
+    void departureSurvivesARestartOfTheNode(String announcement) throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            assertEquals(200, leave(fleet, announcement));
+            restart(fleet);
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 1));
+            assertUnused(fleet);
+            // A new start under the same id is another target.
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 2));
+            SidecarFleet.await("the new start serves", () -> served(fleet, 0));
+            restart(fleet);
+            SidecarFleet.await("it serves after a restart", () -> served(fleet, 0));
+        }
+    }
+
+    private static int leave(SidecarFleet fleet, String announcement) throws Exception {
+        return announcement.equals("DELETE")
+                ? fleet.control(LEAVING, "DELETE", SidecarFleet.targetId(LEAVING), "").statusCode()
+                : fleet.heartbeat(LEAVING, "shop", announcement, 1);
+    }
+
+    private static void restart(SidecarFleet fleet) throws Exception {
+        kill(fleet);
+        fleet.start(LEAVING, "shop", false);
+        SidecarFleet.await("the node is back", () -> fleet.ready(LEAVING));
+    }
+
+    private static void kill(SidecarFleet fleet) {
+        fleet.nodes.get(LEAVING).close();
+        fleet.nodes.remove(LEAVING);
+    }
+
+    /**
+     * Checks that neither node uses the departed target: first beside another target in the other
+     * zone, then without any other.
+     */
+    private static void assertUnused(SidecarFleet fleet) throws Exception {
+        TimeUnit.MILLISECONDS.sleep(500);
+        int before = fleet.targets.get(LEAVING).executions().size();
+        for (int i = 0; i < 20; i++) {
+            int node = i % 2;
+            String id = "beside-" + i;
+            assertEquals(200, fleet.request(node, "GET", "/read/a", id).statusCode(), fleet::log);
+        }
+        assertEquals(200, fleet.heartbeat(0, "shop", "draining", 1));
+        for (int node : List.of(0, 1, 0, 1)) {
+            String id = "alone-" + node;
+            assertEquals(503, fleet.request(node, "GET", "/read/a", id).statusCode(), fleet::log);
+        }
+        assertEquals(before, fleet.targets.get(LEAVING).executions().size(), fleet::log);
+    }
+
+    private static boolean served(SidecarFleet fleet, int node) {
+        try {
+            String id = "new-" + System.nanoTime();
+            return fleet.request(node, "GET", "/read/a", id).statusCode() == 200;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
