Keep a departure without a start at a process that knows none

Without a known start, all starts of the id until the time of the call have now departed. A real new start is later on the clock of the same VM.

--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -75,17 +75,17 @@
      *
      * @param id identifier of the target
      * @param startMillis Unix time of the departed start in milliseconds, or 0 if not given, which
-     *     means the latest known start
+     *     means the latest known start, or without one all starts until now
+     * @param nowMillis current Unix time in milliseconds
      * @return effect of the departure
      */
-    public Change depart(String id, long startMillis) {
+    public Change depart(String id, long startMillis, long nowMillis) {
         boolean isCurrentTarget = latest != null && latest.id().equals(id);
         if (isCurrentTarget && startMillis != 0 && startMillis < latest.startMillis()) {
             return Change.OUTDATED;
         }
-        long departedStartMillis =
-                isCurrentTarget ? Math.max(startMillis, latest.startMillis()) : startMillis;
-        departures = departures.with(id, departedStartMillis);
+        departures =
+                departures.with(id, departedStartMillis(isCurrentTarget, startMillis, nowMillis));
         if (!isCurrentTarget || hasDeparted) {
             return Change.NONE;
         }
@@ -93,6 +93,14 @@
         return Change.CHANGED;
     }
 
+    private long departedStartMillis(boolean isCurrent, long startMillis, long nowMillis) {
+        if (isCurrent) {
+            return Math.max(startMillis, latest.startMillis());
+        }
+        // A process without a heartbeat of the target knows no start that it could note.
+        return startMillis == 0 ? nowMillis : startMillis;
+    }
+
     /**
      * Takes over departures that an earlier process of this node has acknowledged.
      *
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -114,7 +114,7 @@
 
     @Override
     public void departed(String id, long startMillis, Runnable acknowledge) {
-        TargetRegister.Change change = register.depart(id, startMillis);
+        TargetRegister.Change change = register.depart(id, startMillis, System.currentTimeMillis());
         log.write("departure", "target", id, "born", startMillis, "change", change);
         apply();
         acknowledgeDeparture(acknowledge);
--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -14,6 +14,7 @@
 /** Guards against late heartbeats that restore a target which has departed or restarted. */
 class TargetRegisterTest {
     private static final String ADDRESS = "10.0.0.1:8301";
+    private static final long NOW_MILLIS = 1_000;
     private static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(6);
 
     private sealed interface Step {
@@ -67,6 +68,17 @@
                 Arguments.of(
                         List.of(ready("a", 5, 1), new Step.Depart("a", 0), ready("a", 9, 1)),
                         "a SERVING"),
+                // A new process, which knows no start, acknowledges a departure without one.
+                Arguments.of(List.of(new Step.Depart("a", 0), ready("a", 5, 7)), "none"),
+                Arguments.of(
+                        List.of(new Step.Depart("a", 0), ready("a", NOW_MILLIS + 1, 1)),
+                        "a SERVING"),
+                Arguments.of(List.of(new Step.Depart("a", 0), ready("b", 5, 1)), "b SERVING"),
+                Arguments.of(
+                        List.of(
+                                new Step.Depart("a", 0),
+                                new Step.Restore("b", 5, Condition.SERVING)),
+                        "b SERVING"),
                 // A late departure of an earlier start does not end the current one.
                 Arguments.of(List.of(ready("a", 9, 1), new Step.Depart("a", 5)), "a SERVING"),
                 // A target at another address is not the one beside this node.
@@ -110,7 +122,8 @@
                                         announce.state(),
                                         0),
                                 now);
-                case Step.Depart depart -> register.depart(depart.id(), depart.startMillis());
+                case Step.Depart depart ->
+                        register.depart(depart.id(), depart.startMillis(), NOW_MILLIS);
                 case Step.Adopt adopt ->
                         register.adopt(Departures.NONE.with(adopt.id(), adopt.startMillis()));
                 case Step.Restore restore ->
--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -34,6 +36,26 @@
         }
     }
 
+    /**
+     * Guards against a new process that acknowledges a departure, but does not keep it because it
+     * has had no heartbeat that names the start.
+     */
+    @Test
+    void departureAcknowledgedByANewProcessHolds() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            // No heartbeat is repeated here, so nothing of the target is left in the store.
+            kill(fleet);
+            fleet.store.put("azureshed-nodes", "node-1", JsonNodeFactory.instance.objectNode());
+            fleet.start(LEAVING, "shop", false);
+            assertEquals(200, leave(fleet, "DELETE"));
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 1));
+            assertUnused(fleet);
+            long newStart = System.currentTimeMillis() + 1;
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", newStart));
+            SidecarFleet.await("the new start serves", () -> served(fleet, 0));
+        }
+    }
+
     private static int leave(SidecarFleet fleet, String announcement) throws Exception {
         return announcement.equals("DELETE")
                 ? fleet.control(LEAVING, "DELETE", SidecarFleet.targetId(LEAVING), "").statusCode()
