Do not undo a departure by the former entry of its node

The store was away and a node restarted. The register checked for a later heartbeat there, but not for a departure.

An entry is now restored only if its start has not departed. Besides, nodes keep the departures of a node when its next process publishes an entry without them, leave such targets out, and answer the entry with the merged one; the digest covers departures. So one reachable node that has heard of a departure is enough for it to outlive the process that acknowledged it.

--- a/src/main/java/org/azureshed/directory/Directory.java
+++ b/src/main/java/org/azureshed/directory/Directory.java
@@ -31,7 +31,8 @@
     /**
      * Merges an entry if it is newer than the known one. If two nodes have the same address, it
      * belongs to the one with the higher incarnation, or on a tie to the one merged last, and the
-     * other node's entry is dropped.
+     * other node's entry is dropped. Departures are added whatever the age of the entry: other
+     * nodes may know more of them than the node itself does after a restart.
      *
      * @param entry an entry received from its node, the store or another node
      * @return true if the directory changed
@@ -40,7 +41,7 @@
         checkNotNull(entry, "entry");
         NodeEntry known = entries.get(entry.name());
         if (known != null && !entry.supersedes(known)) {
-            return false;
+            return replace(known, known.withDepartures(entry.departures()));
         }
         String holderName = nodeByAddress.get(entry.address());
         if (holderName != null && !holderName.equals(entry.name())) {
@@ -53,12 +54,21 @@
         if (known != null) {
             nodeByAddress.remove(known.address(), known.name());
         }
-        entries.put(entry.name(), entry);
+        entries.put(entry.name(), known == null ? entry : entry.withDepartures(known.departures()));
         nodeByAddress.put(entry.address(), entry.name());
         usableByService.clear();
         return true;
     }
 
+    private boolean replace(NodeEntry known, NodeEntry changed) {
+        if (changed.equals(known)) {
+            return false;
+        }
+        entries.put(changed.name(), changed);
+        usableByService.clear();
+        return true;
+    }
+
     /**
      * Removes a node, for example because the store no longer lists it.
      *
@@ -104,7 +114,7 @@
     /**
      * A digest of all entries; nodes with equal digests have the same directory.
      *
-     * @return a checksum of names, incarnations and revisions
+     * @return a checksum of names, incarnations, revisions and departures
      */
     public long digest() {
         CRC32C checksum = new CRC32C();
@@ -113,21 +123,31 @@
     }
 
     private static byte[] versionBytes(NodeEntry entry) {
-        String version = entry.name() + '/' + entry.incarnation() + '/' + entry.revision() + '\n';
+        String version =
+                entry.name()
+                        + '/'
+                        + entry.incarnation()
+                        + '/'
+                        + entry.revision()
+                        + '/'
+                        + entry.departures().lastStarts().hashCode()
+                        + '\n';
         return version.getBytes(StandardCharsets.UTF_8);
     }
 
     private List<NodeEntry> findUsable(String service) {
         List<NodeEntry> found = new ArrayList<>();
         for (NodeEntry entry : entries.values()) {
-            if (entry.target().filter(target -> serves(target, service)).isPresent()) {
+            if (entry.target().filter(target -> serves(entry, target, service)).isPresent()) {
                 found.add(entry);
             }
         }
         return List.copyOf(found);
     }
 
-    private static boolean serves(TargetEntry target, String service) {
-        return target.condition().usable() && target.service().equals(service);
+    private static boolean serves(NodeEntry entry, TargetEntry target, String service) {
+        return target.condition().usable()
+                && target.service().equals(service)
+                && !entry.departures().covers(target.id(), target.startMillis());
     }
 }
--- a/src/main/java/org/azureshed/directory/NodeEntry.java
+++ b/src/main/java/org/azureshed/directory/NodeEntry.java
@@ -6,7 +6,8 @@
 import org.azureshed.model.Endpoint;
 
 /**
- * One node and the target beside it. Only the node itself changes its entry.
+ * One node and the target beside it. Only the node itself changes its entry, except that departures
+ * are kept: a node that restarted may not know what its former process acknowledged.
  *
  * @param name name of the node
  * @param availabilityZone availability zone of the node
@@ -33,6 +34,25 @@
         checkNotNull(departures, "departures");
     }
 
+    /**
+     * Copies this entry with more departures.
+     *
+     * @param more departures to add
+     * @return the copy, or this entry if it has them all
+     */
+    public NodeEntry withDepartures(Departures more) {
+        return departures.containsAll(more)
+                ? this
+                : new NodeEntry(
+                        name,
+                        availabilityZone,
+                        address,
+                        incarnation,
+                        revision,
+                        target,
+                        departures.union(more));
+    }
+
     /**
      * Whether this entry is newer than another one of the same node.
      *
--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -132,7 +132,7 @@
             departures = departures.with(entry.id(), entry.startMillis());
             return false;
         }
-        if (latest != null) {
+        if (latest != null || departures.covers(entry.id(), entry.startMillis())) {
             return false;
         }
         latest =
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -413,10 +413,8 @@
     Optional<byte[]> handleMessage(String path, byte[] body) {
         try {
             return switch (path) {
-                case "/fleet/entries" -> {
-                    merge(JsonSlice.of(body), "message");
-                    yield Optional.of(codec.bytes(message(List.of(own))));
-                }
+                case "/fleet/entries" ->
+                        Optional.of(codec.bytes(message(replyTo(JsonSlice.of(body)))));
                 case "/fleet/digest" ->
                         Optional.of(
                                 codec.bytes(
@@ -436,10 +434,32 @@
         }
     }
 
-    private void merge(JsonSlice message, String source) throws IOException {
+    /**
+     * Merges received entries.
+     *
+     * @return this node's entry, and those of the received ones for which this node knows more
+     *     departures than the sender
+     */
+    private List<NodeEntry> replyTo(JsonSlice message) throws IOException {
+        List<NodeEntry> reply = new ArrayList<>();
+        reply.add(own);
+        for (NodeEntry received : merge(message, "message")) {
+            directory
+                    .node(received.name())
+                    .filter(known -> !received.departures().containsAll(known.departures()))
+                    .filter(known -> !known.name().equals(own.name()))
+                    .ifPresent(reply::add);
+        }
+        return reply;
+    }
+
+    /** Merges the entries and suspect requests of a message, and returns its entries. */
+    private List<NodeEntry> merge(JsonSlice message, String source) throws IOException {
         codec.suspects(message, source)
                 .forEach(report -> suspects.merge(report, System.nanoTime()));
-        codec.entries(message, source).forEach(this::mergeEntry);
+        List<NodeEntry> entries = codec.entries(message, source);
+        entries.forEach(this::mergeEntry);
+        return entries;
     }
 
     private ObjectNode message(List<NodeEntry> entries) {
--- a/src/test/java/org/azureshed/directory/DirectoryTest.java
+++ b/src/test/java/org/azureshed/directory/DirectoryTest.java
@@ -33,11 +33,25 @@
         NodeEntry leaving = entry("a", "1:1", 1, 2, Condition.LEAVING);
         NodeEntry restarted = entry("a", "1:1", 2, 0, Condition.SERVING);
         NodeEntry successor = entry("b", "1:1", 5, 0, Condition.SERVING);
+        NodeEntry departed = leaving.withDepartures(Departures.NONE.with("i-a", 1));
+        NodeEntry newStart =
+                new NodeEntry(
+                        "a",
+                        "az-1",
+                        Endpoint.parse("1:1"),
+                        2,
+                        1,
+                        Optional.of(new TargetEntry("i-a", 2, "shop", 4, Condition.SERVING)),
+                        Departures.NONE);
         return Stream.of(
                 Arguments.of(List.of(first), List.of("a")),
                 Arguments.of(List.of(first, leaving), List.of()),
                 Arguments.of(List.of(leaving, first), List.of()),
                 Arguments.of(List.of(leaving, restarted, first), List.of("a")),
+                // A node that restarted publishes a target that other nodes know has departed.
+                Arguments.of(List.of(departed, restarted), List.of()),
+                Arguments.of(List.of(restarted, departed), List.of()),
+                Arguments.of(List.of(restarted, departed, newStart), List.of("a")),
                 // Another node took over the address, so the previous holder is removed.
                 Arguments.of(List.of(first, successor), List.of("b")),
                 Arguments.of(List.of(successor, first), List.of("b")));
--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -95,6 +95,22 @@
                 Arguments.of(
                         List.of(new Step.Restore("a", 5, Condition.LEAVING), ready("a", 9, 1)),
                         "a SERVING"),
+                // An earlier process's entry arrives after the departure, or after its adoption.
+                Arguments.of(
+                        List.of(
+                                new Step.Depart("a", 0),
+                                new Step.Restore("a", 5, Condition.SERVING)),
+                        "none"),
+                Arguments.of(
+                        List.of(
+                                new Step.Adopt("a", 5),
+                                new Step.Restore("a", 5, Condition.SERVING)),
+                        "none"),
+                Arguments.of(
+                        List.of(
+                                new Step.Adopt("a", 5),
+                                new Step.Restore("a", 9, Condition.SERVING)),
+                        "a SERVING"),
                 // A target without heartbeats is gone until the next heartbeat arrives.
                 Arguments.of(List.of(ready("a", 5, 1), new Step.Wait(7)), "a GONE"),
                 Arguments.of(
--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.azureshed.platform.standin.StoreStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -56,6 +57,43 @@
         }
     }
 
+    /**
+     * Guards against a former entry of the node that undoes a departure, because other nodes send
+     * it to the new process after that has acknowledged the departure.
+     */
+    @Test
+    void departureIsNotUndoneByTheFormerEntry() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            fleet.store.fault(StoreStandIn.Fault.BUSY);
+            kill(fleet);
+            fleet.start(LEAVING, "shop", false);
+            assertEquals(200, leave(fleet, "DELETE"));
+            // Every node now exchanges digests with the other one at least once.
+            TimeUnit.MILLISECONDS.sleep(3_000);
+            fleet.store.fault(StoreStandIn.Fault.NONE);
+            SidecarFleet.await("the node is back", () -> fleet.ready(LEAVING));
+            assertUnused(fleet);
+        }
+    }
+
+    /**
+     * Guards against a departed target that is used again because the departure was acknowledged
+     * while the store was away, and the restarted node has it from nowhere but other nodes.
+     */
+    @Test
+    void departureThatOnlyOtherNodesRememberHolds() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            fleet.store.fault(StoreStandIn.Fault.BUSY);
+            assertEquals(200, leave(fleet, "DELETE"));
+            kill(fleet);
+            fleet.store.fault(StoreStandIn.Fault.NONE);
+            fleet.start(LEAVING, "shop", false);
+            SidecarFleet.await("the node is back", () -> fleet.ready(LEAVING));
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 1));
+            assertUnused(fleet);
+        }
+    }
+
     private static int leave(SidecarFleet fleet, String announcement) throws Exception {
         return announcement.equals("DELETE")
                 ? fleet.control(LEAVING, "DELETE", SidecarFleet.targetId(LEAVING), "").statusCode()
