Do not reuse a connection that carried an answer without the request's id

A faulty target wrote an earlier refusal once more on a kept connection. The copy was taken for the refusal of the next request, which was running: it ran again at a second target, or its caller was told that it had not run. A refusal, and any other answer but a success, was believed without an id, since true refusals carry none.

A copy without an id can only follow an answer without one. Such an answer now closes its connection, so an answer without an id is always the first thing a connection says after its request.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -33,6 +34,7 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
     private final AtomicInteger endlessResponses = new AtomicInteger();
+    private final Set<String> firstAnswers = ConcurrentHashMap.newKeySet();
     private volatile Function<Request, Behaviour> behaviour;
 
     /**
@@ -101,6 +103,16 @@
          */
         record LateCopy(long delayMillis) implements Behaviour {}
 
+        /**
+         * Answers the first request of a connection, and writes this answer once more when the next
+         * request arrives there, before that one's own answer. Later requests run and get 200.
+         *
+         * @param status HTTP status of the first answer
+         * @param executed whether the first request runs; if not, its answer says so
+         * @param echo whether the first answer repeats the request identifier
+         */
+        record AnswerAgain(int status, boolean executed, boolean echo) implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -149,6 +161,16 @@
         return executions;
     }
 
+    /**
+     * Returns the identifiers of the requests that {@link Behaviour.AnswerAgain} answered with its
+     * status.
+     *
+     * @return a live, thread-safe set
+     */
+    public Set<String> firstAnswers() {
+        return firstAnswers;
+    }
+
     /**
      * Counts the responses without end that callers have not ended yet.
      *
@@ -210,8 +232,26 @@
                             + "Content-Length: 0\r\n\r\n");
             return true;
         }
+        if (chosen instanceof Behaviour.AnswerAgain again
+                && !again.executed()
+                && !lateCopies.containsKey(socket)) {
+            String answer = firstAnswer(request, again);
+            lateCopies.put(socket, answer);
+            write(out, answer);
+            return true;
+        }
         executions.add(request);
         switch (chosen) {
+            case Behaviour.AnswerAgain again -> {
+                String late = lateCopies.get(socket);
+                if (late == null) {
+                    late = firstAnswer(request, again);
+                    lateCopies.put(socket, late);
+                    write(out, late);
+                } else {
+                    write(out, late + completeResponse(request, 200, "ok"));
+                }
+            }
             case Behaviour.Answer answer -> {
                 TimeUnit.MILLISECONDS.sleep(answer.millis());
                 write(out, completeResponse(request, answer.status(), answer.body()));
@@ -261,6 +301,18 @@
         }
     }
 
+    /** Returns an answer that is no success, without a body. */
+    private String firstAnswer(Request request, Behaviour.AnswerAgain again) {
+        firstAnswers.add(request.requestId());
+        boolean saysNotExecuted = !again.executed() && again.status() != 421;
+        return "HTTP/1.1 "
+                + again.status()
+                + " Status\r\n"
+                + (saysNotExecuted ? "X-Azureshed-Not-Executed: 1\r\n" : "")
+                + (again.echo() ? "X-Azureshed-Request-Id: " + request.requestId() + "\r\n" : "")
+                + "Content-Length: 0\r\n\r\n";
+    }
+
     private static String completeResponse(Request request, int status, String body) {
         return "HTTP/1.1 "
                 + status
--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -106,6 +106,11 @@
         }
     }
 
+    /** Closes the connection when the current response is complete. */
+    void forbidReuse() {
+        reusable = false;
+    }
+
     /** Aborts the call and closes the connection; the listener gets no further event. */
     void cancel() {
         listener = null;
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -224,6 +224,10 @@
             service.events().anomaly("foreign_answer", "id", expected, "echoed", echoed);
             return false;
         }
+        if (echoed == null) {
+            // A copy of this response could not be told from the response to a later request.
+            targetConnection.forbidReuse();
+        }
         status = response.status().code();
         if (done) {
             return true;
--- a/src/test/java/org/azureshed/platform/OperatorReportsTest.java
+++ b/src/test/java/org/azureshed/platform/OperatorReportsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -52,6 +53,48 @@
         }
     }
 
+    static Stream<Arguments> repeatedAnswers() {
+        return Stream.of(true, false)
+                .flatMap(
+                        echo ->
+                                Stream.of(
+                                        new Behaviour.AnswerAgain(503, false, echo),
+                                        new Behaviour.AnswerAgain(429, false, echo),
+                                        new Behaviour.AnswerAgain(421, false, echo),
+                                        new Behaviour.AnswerAgain(500, true, echo),
+                                        new Behaviour.AnswerAgain(504, true, echo),
+                                        new Behaviour.AnswerAgain(404, true, echo)))
+                .map(Arguments::of);
+    }
+
+    /**
+     * A target writes an earlier answer once more on a connection that is in use again. The copy is
+     * not taken for the answer to the next request: that one is neither said not to have run, nor
+     * sent to a second target, nor reported as failed.
+     */
+    @ParameterizedTest
+    @MethodSource("repeatedAnswers")
+    void copyOfAnEarlierAnswerIsNotBelieved(Behaviour.AnswerAgain again) throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            fleet.targets.forEach(target -> target.behaviour(request -> again));
+            List<String> faults = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                String id = "id-" + i;
+                int status = fleet.request(0, "POST", "/write/a", id).statusCode();
+                long executions = fleet.executions(id);
+                boolean saysNotRun = List.of(408, 421, 429, 503).contains(status);
+                if (executions > 1 || saysNotRun && executions > 0) {
+                    faults.add(id + ": status " + status + ", " + executions + " executions");
+                } else if (again.executed()
+                        && status == again.status()
+                        && fleet.targets.stream().noneMatch(t -> t.firstAnswers().contains(id))) {
+                    faults.add(id + ": status " + status + " of another request");
+                }
+            }
+            assertEquals(List.of(), faults, fleet::log);
+        }
+    }
+
     /** A target sends no heartbeats for longer than the time after which it counts as gone. */
     @Test
     void workOfASilentTargetIsNeitherRepeatedNorGivenUp() throws Exception {
