End a refused call without reading on

A refusal with a body without end was read on and on after its request had ended: HostExchange had answered the entry side, but the call to the target stayed open until the target closed it.

The call now ends with the head of the refusal. Up to 16 KiB of the rest are read for at most 250 ms, so that a connection can be reused; otherwise it is closed. Between nodes and from the store a call already ends with its time limit (EndlessControlResponseTest); targets are not probed.

--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -1,5 +1,6 @@
 package org.azureshed.traffic;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,7 +12,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.azureshed.model.Endpoint;
 
 /**
@@ -25,6 +28,33 @@
     /** Bytes of late responses to earlier requests that are skipped before the connection ends. */
     private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+    /** Bytes of a response that nobody needs which are read to keep the connection. */
+    private static final long MAX_DRAINED_BYTES = 16 << 10;
+
+    /** Longest time for which such a response is read. */
+    private static final long MAX_DRAIN_MILLIS = 250;
+
+    /** Receives the rest of a response after its call has ended. */
+    private static final CallListener DRAIN =
+            new CallListener() {
+                @Override
+                public void connected() {}
+
+                @Override
+                public boolean head(HttpResponse response) {
+                    return true;
+                }
+
+                @Override
+                public void content(ByteBuf data) {}
+
+                @Override
+                public void end() {}
+
+                @Override
+                public void failed(CallFailure failure) {}
+            };
+
     private final ConnectionPool pool;
     private final Endpoint address;
     private Channel channel;
@@ -42,6 +72,8 @@
     private boolean releasePending;
     private int interimResponses;
     private long skippedBytes;
+    private long drainedBytes;
+    private ScheduledFuture<?> drainTimer;
     private long idleSinceNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
@@ -111,6 +143,21 @@
         reusable = false;
     }
 
+    /**
+     * Ends the call after the head of its response; the listener gets no further event. A short
+     * rest of the response is read, so that the connection can be reused; otherwise it is closed.
+     */
+    void endCall() {
+        if (!reusable) {
+            cancel();
+            return;
+        }
+        listener = DRAIN;
+        drainedBytes = 0;
+        drainTimer =
+                channel.eventLoop().schedule(this::cancel, MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Aborts the call and closes the connection; the listener gets no further event. */
     void cancel() {
         listener = null;
@@ -187,6 +234,12 @@
                     fail(CallFailure.MALFORMED);
                     return;
                 }
+            } else if (listener == DRAIN) {
+                drainedBytes += content.content().readableBytes();
+                if (drainedBytes > MAX_DRAINED_BYTES) {
+                    cancel();
+                    return;
+                }
             } else if (content.content().isReadable()) {
                 listener.content(content.content());
             }
@@ -224,6 +277,7 @@
         }
         CallListener ended = listener;
         listener = null;
+        cancelDrainTimer();
         if (reusable && requestWritten && open()) {
             // Released when the read batch is complete, so that trailing bytes are detected before.
             releasePending = true;
@@ -233,6 +287,13 @@
         ended.end();
     }
 
+    private void cancelDrainTimer() {
+        if (drainTimer != null) {
+            drainTimer.cancel(false);
+            drainTimer = null;
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (releasePending) {
@@ -253,6 +314,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        cancelDrainTimer();
         pool.discard(this);
         if (listener != null) {
             fail(head == null ? CallFailure.CLOSED : CallFailure.TRUNCATED);
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -234,6 +234,7 @@
         }
         if (response.headers().contains(service.names().notExecuted())
                 || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            targetConnection.endCall();
             respond(OutcomeHeaders.SHED, "status_" + status);
             finish("shed", status == 421 ? RunResult.NEUTRAL : RunResult.FAILURE);
         } else if (!isGenuine(response, echoed)) {
--- a/src/test/java/org/azureshed/platform/EndlessBytesTest.java
+++ b/src/test/java/org/azureshed/platform/EndlessBytesTest.java
@@ -39,6 +39,7 @@
 
     static Stream<Arguments> cases() {
         List<Integer> failed = List.of(502, 504);
+        List<Integer> refused = List.of(503);
         List<Integer> failedOrCut = List.of(200, 502, 504);
         return Stream.of(
                         new Case("interim", "", "HTTP/1.1 102 Processing\r\n\r\n", failed),
@@ -78,6 +79,31 @@
                                         + "X-Azureshed-Response-Signature: s\r\n\r\n",
                                 BLOCK,
                                 failed),
+                        new Case(
+                                "refusal with a length",
+                                "HTTP/1.1 503 Full\r\nX-Azureshed-Not-Executed: 1\r\n"
+                                        + "Content-Length: 9000000000000000000\r\n\r\n",
+                                BLOCK,
+                                refused),
+                        new Case(
+                                "refusal with an id and a length",
+                                "HTTP/1.1 503 Full\r\nX-Azureshed-Not-Executed: 1\r\n"
+                                        + "X-Azureshed-Request-Id: ID\r\n"
+                                        + "Content-Length: 9000000000000000000\r\n\r\n",
+                                BLOCK,
+                                refused),
+                        new Case(
+                                "refusal with an id and chunks",
+                                "HTTP/1.1 429 Full\r\nX-Azureshed-Not-Executed: 1\r\n"
+                                        + "X-Azureshed-Request-Id: ID\r\n"
+                                        + "Transfer-Encoding: chunked\r\n\r\n",
+                                "1\r\nx\r\n",
+                                refused),
+                        new Case(
+                                "misdirected until close",
+                                "HTTP/1.1 421 Misdirected\r\nX-Azureshed-Request-Id: ID\r\n\r\n",
+                                BLOCK,
+                                refused),
                         new Case(
                                 "after a complete response",
                                 "HTTP/1.1 200 OK\r\n" + GENUINE + "Content-Length: 2\r\n\r\nok",
