--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -13,6 +13,7 @@
 import org.azureshed.directory.Departures;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.NodeEntry;
+import org.azureshed.directory.OwnEntry;
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.json.JsonSlice;
@@ -68,7 +69,7 @@
     private final OwnEntryStore ownStore;
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
     private Consumer<Departures> onDepartures = departures -> {};
-    private NodeEntry own;
+    private final OwnEntry own;
 
     /** Whether other nodes have not been told of the latest change of this node's entry. */
     private boolean announcePending;
@@ -104,28 +105,29 @@
         this.log = log;
         this.listBackoff = new Backoff(random.split());
         this.own =
-                new NodeEntry(
-                        settings.node(),
-                        settings.availabilityZone(),
-                        settings.advertisedHostAddress(),
-                        incarnation,
-                        0,
-                        Optional.empty(),
-                        Departures.NONE);
+                new OwnEntry(
+                        new NodeEntry(
+                                settings.node(),
+                                settings.availabilityZone(),
+                                settings.advertisedHostAddress(),
+                                incarnation,
+                                0,
+                                Optional.empty(),
+                                Departures.NONE));
         this.ownStore =
                 new OwnEntryStore(
                         store,
-                        own.name(),
+                        settings.node(),
                         settings.firstStart(),
-                        () -> own,
+                        own::entry,
                         loop,
                         new Backoff(random.split()),
                         log);
     }
 
     void start() {
-        directory.merge(own);
-        ownStore.start(former -> mergeStored(former), this::onStored);
+        directory.merge(own.entry());
+        ownStore.start(this::mergeStored, this::onStored);
         // Digest exchanges also repair broadcasts that a node, this one or another, missed while it
         // restarted.
         loop.schedule(this::gossip, random.nextLong(GOSSIP_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
@@ -153,7 +155,7 @@
 
     /** Broadcasts a change of the local target, and stores it unless it is transient. */
     void targetChanged(Optional<TargetEntry> target) {
-        update(own.incarnation(), target, own.departures());
+        own.setTarget(target);
         announce();
         Optional<TargetEntry> storedTarget = ownStore.stored().flatMap(NodeEntry::target);
         if (!storedTarget
@@ -168,8 +170,8 @@
      * next change of the target, or by {@link #announceChanges()}.
      */
     void departuresAcknowledged(Departures departures) {
-        if (!own.departures().containsAll(departures)) {
-            update(own.incarnation(), own.target(), own.departures().union(departures));
+        if (own.addDepartures(departures)) {
+            directory.merge(own.entry());
             announcePending = true;
             ownStore.entryChanged();
         }
@@ -184,7 +186,7 @@
 
     /** Reports to all nodes a request that was running when the local target crashed. */
     void requestCrashedTarget(RequestFingerprint request) {
-        suspects.crashed(own.name(), request, System.nanoTime());
+        suspects.crashed(settings.node(), request, System.nanoTime());
         log.write("request_suspected", "request", Long.toHexString(request.value()));
         announce();
     }
@@ -207,24 +209,12 @@
         return target.condition().usable() ? target.withCondition(Condition.SERVING) : target;
     }
 
-    private void update(long incarnation, Optional<TargetEntry> target, Departures departures) {
-        own =
-                new NodeEntry(
-                        own.name(),
-                        own.availabilityZone(),
-                        own.address(),
-                        incarnation,
-                        own.revision() + 1,
-                        target,
-                        departures);
-        directory.merge(own);
-    }
-
     private void announce() {
         announcePending = false;
-        byte[] body = codec.bytes(message(List.of(own)));
+        directory.merge(own.entry());
+        byte[] body = codec.bytes(message(List.of(own.entry())));
         for (NodeEntry node : directory.nodes()) {
-            if (!node.name().equals(own.name())) {
+            if (!isOwn(node)) {
                 send(node, "/fleet/entries", body, reply -> merge(reply, node.name()));
             }
         }
@@ -309,28 +299,32 @@
      * entry of another node changed.
      */
     private boolean mergeEntry(NodeEntry entry) {
-        if (!entry.name().equals(own.name())) {
-            if (entry.address().equals(own.address()) && entry.incarnation() >= own.incarnation()) {
+        if (!isOwn(entry)) {
+            NodeEntry current = own.entry();
+            if (entry.address().equals(current.address())
+                    && entry.incarnation() >= current.incarnation()) {
                 reclaimAddress(entry);
             }
             return directory.merge(entry);
         }
-        if (!own.departures().containsAll(entry.departures())) {
-            log.write("departures_restored", "departures", entry.departures().lastStarts());
-            onDepartures.accept(entry.departures());
+        OwnEntry.News news = own.compare(entry);
+        if (!news.departures().equals(Departures.NONE)) {
+            log.write("departures_restored", "departures", news.departures().lastStarts());
+            onDepartures.accept(news.departures());
         }
-        if (entry.incarnation() == own.incarnation() && entry.revision() <= own.revision()) {
-            return false;
-        }
-        if (entry.address().equals(own.address()) && !listed) {
-            entry.target().ifPresent(onPreviousTarget);
+        if (!listed) {
+            news.previousTarget().ifPresent(onPreviousTarget);
         }
-        if (entry.supersedes(own)) {
+        if (news.superseding()) {
             raiseIncarnationAbove(entry);
         }
         return false;
     }
 
+    private boolean isOwn(NodeEntry entry) {
+        return entry.name().equals(settings.node());
+    }
+
     /**
      * Answers the claim of another name to this node's address, which no other node can have: the
      * address belongs to the entry with the highest incarnation.
@@ -345,8 +339,9 @@
     }
 
     private void raiseIncarnationAbove(NodeEntry entry) {
-        log.write("incarnation_raised", "from", own.incarnation(), "to", entry.incarnation());
-        update(entry.incarnation() + 1, own.target(), own.departures());
+        long before = own.entry().incarnation();
+        own.raiseAbove(entry);
+        log.write("incarnation_raised", "from", before, "to", own.entry().incarnation());
         announce();
         ownStore.entryChanged();
     }
@@ -368,9 +363,9 @@
         List<NodeEntry> sameZone = new ArrayList<>();
         List<NodeEntry> all = new ArrayList<>();
         for (NodeEntry node : directory.nodes()) {
-            if (!node.name().equals(own.name())) {
+            if (!isOwn(node)) {
                 all.add(node);
-                if (node.availabilityZone().equals(own.availabilityZone())) {
+                if (node.availabilityZone().equals(settings.availabilityZone())) {
                     sameZone.add(node);
                 }
             }
@@ -442,12 +437,12 @@
      */
     private List<NodeEntry> replyTo(JsonSlice message) throws IOException {
         List<NodeEntry> reply = new ArrayList<>();
-        reply.add(own);
+        reply.add(own.entry());
         for (NodeEntry received : merge(message, "message")) {
             directory
                     .node(received.name())
                     .filter(known -> !received.departures().containsAll(known.departures()))
-                    .filter(known -> !known.name().equals(own.name()))
+                    .filter(known -> !isOwn(known))
                     .ifPresent(reply::add);
         }
         return reply;
