Do not take a silent target for departed when its node restarts

A target that was silent while its node restarted got no request afterwards, although its heartbeats were acknowledged: the former entry said GONE, which stood for both silent and deregistered, and the new process noted a departure.

Departures have their own list now, so GONE alone means silent. The case of TargetRegisterTest that took GONE for a departure is replaced by two, with the departure (stays out) and without it (serves from its next heartbeat on).

Evidence: DepartureTest#silentTargetIsUsedAgainAfterARestartOfTheNode failed before ("not within 15 s: the target serves") and passes with the change.

--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -121,18 +121,20 @@
 
     /**
      * Restores the target that this node published before it restarted. A departed target stays
-     * departed; a usable one receives requests again before its next heartbeat.
+     * departed; a usable one receives requests again before its next heartbeat. One that was only
+     * silent is used again from its next heartbeat on.
      *
      * @param entry the published target
      * @param nowNanos current time
      * @return true if the entry is now the current target
      */
     public boolean restore(TargetEntry entry, long nowNanos) {
-        if (!entry.condition().usable()) {
+        if (entry.condition() == Condition.LEAVING) {
             departures = departures.with(entry.id(), entry.startMillis());
-            return false;
         }
-        if (latest != null || departures.covers(entry.id(), entry.startMillis())) {
+        if (latest != null
+                || !entry.condition().usable()
+                || departures.covers(entry.id(), entry.startMillis())) {
             return false;
         }
         latest =
--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -89,8 +89,18 @@
                         "a SERVING"),
                 // The node restores the state that it published before its own restart.
                 Arguments.of(List.of(new Step.Restore("a", 5, Condition.SERVING)), "a SERVING"),
+                Arguments.of(
+                        List.of(new Step.Restore("a", 5, Condition.LEAVING), ready("a", 5, 7)),
+                        "none"),
+                // A target that was silent has not departed; one that deregistered has.
                 Arguments.of(
                         List.of(new Step.Restore("a", 5, Condition.GONE), ready("a", 5, 7)),
+                        "a SERVING"),
+                Arguments.of(
+                        List.of(
+                                new Step.Adopt("a", 5),
+                                new Step.Restore("a", 5, Condition.GONE),
+                                ready("a", 5, 7)),
                         "none"),
                 Arguments.of(
                         List.of(new Step.Restore("a", 5, Condition.LEAVING), ready("a", 9, 1)),
--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -94,6 +94,22 @@
         }
     }
 
+    /**
+     * Guards against a target that is taken for departed for good, because it was silent when its
+     * node restarted.
+     */
+    @Test
+    void silentTargetIsUsedAgainAfterARestartOfTheNode() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop")) {
+            SidecarFleet.await("the target counts as gone", () -> !served(fleet, 0));
+            fleet.nodes.removeFirst().close();
+            fleet.start(0, "shop", false);
+            SidecarFleet.await("the node is back", () -> fleet.ready(0));
+            assertEquals(200, fleet.heartbeat(0, "shop", "ready", 1));
+            SidecarFleet.await("the target serves", () -> served(fleet, 0));
+        }
+    }
+
     private static int leave(SidecarFleet fleet, String announcement) throws Exception {
         return announcement.equals("DELETE")
                 ? fleet.control(LEAVING, "DELETE", SidecarFleet.targetId(LEAVING), "").statusCode()
