Depart all starts until now if a deregistration names none

A target started again under its id, its heartbeats were held up, and it deregistered without naming its start. The node noted the start it knew, the earlier one, so the held-up heartbeat put the departed target to use. Without a given start all starts until now depart, whatever the node knows.

--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -75,7 +75,7 @@
      *
      * @param id identifier of the target
      * @param startMillis Unix time of the departed start in milliseconds, or 0 if not given, which
-     *     means the latest known start, or without one all starts until now
+     *     means all starts until now: heartbeats of the latest one may not have arrived yet
      * @param nowMillis current Unix time in milliseconds
      * @return effect of the departure
      */
@@ -94,11 +94,8 @@
     }
 
     private long departedStartMillis(boolean isCurrent, long startMillis, long nowMillis) {
-        if (isCurrent) {
-            return Math.max(startMillis, latest.startMillis());
-        }
-        // A process without a heartbeat of the target knows no start that it could note.
-        return startMillis == 0 ? nowMillis : startMillis;
+        long last = startMillis == 0 ? nowMillis : startMillis;
+        return isCurrent ? Math.max(last, latest.startMillis()) : last;
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/azureshed/directory/DepartureModel.java
@@ -0,0 +1,327 @@
+package org.azureshed.directory;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.model.Endpoint;
+import org.azureshed.model.TargetState;
+
+/**
+ * A node with its target, its restarts, the store and two other nodes, without a network. The
+ * node's calls follow FleetSync and LocalTarget; the decisions are those of the product.
+ */
+final class DepartureModel {
+    private static final Endpoint TARGET = Endpoint.parse("10.0.0.1:8301");
+    private static final Endpoint HOST = Endpoint.parse("10.0.0.1:8300");
+    private static final String NODE = "node";
+    private static final String SERVICE = "shop";
+    private static final long CLOCK_STEP_MILLIS = 3_000;
+
+    /** A target that leaves and comes back under the same id needs longer than a clock step. */
+    private static final long RESTART_MILLIS = 5_000;
+
+    enum Step {
+        HEARTBEAT,
+        /** The target sends a heartbeat that is held up on its way. */
+        HOLD_HEARTBEAT,
+        DELIVER_LATE_HEARTBEAT,
+        DRAIN,
+        DEREGISTER,
+        DEREGISTER_WITH_START,
+        /** The target ends and starts again under its id. */
+        NEW_START,
+        /** The target ends, and another one starts at its address. */
+        NEW_TARGET,
+        RESTART,
+        STORE_AWAY,
+        STORE_BACK,
+        /** A restarted node reads its former entry, if the store answers. */
+        READ_STORE,
+        EXCHANGE_WITH_FIRST,
+        EXCHANGE_WITH_SECOND,
+        EXCHANGE_OF_OTHERS,
+        CLOCK_BACK,
+        CLOCK_FORWARD
+    }
+
+    /** One process of the node. */
+    private static final class Process {
+        private final TargetRegister register =
+                new TargetRegister(TARGET, TimeUnit.DAYS.toNanos(1));
+        private final Directory directory = new Directory();
+        private final OwnEntry own;
+        private final Set<Directory> heardFrom = new LinkedHashSet<>();
+        private boolean formerKnown;
+
+        Process(long incarnation, boolean firstStart) {
+            own =
+                    new OwnEntry(
+                            new NodeEntry(
+                                    NODE,
+                                    "az",
+                                    HOST,
+                                    incarnation,
+                                    0,
+                                    Optional.empty(),
+                                    Departures.NONE));
+            formerKnown = firstStart;
+            directory.merge(own.entry());
+        }
+    }
+
+    private final List<Directory> others = List.of(new Directory(), new Directory());
+    private final Deque<Heartbeat> lateHeartbeats = new ArrayDeque<>();
+
+    /** The last departed start by target id, of the departures that must hold. */
+    private final Map<String, Long> departed = new HashMap<>();
+
+    private Process process;
+    private Optional<NodeEntry> stored = Optional.empty();
+    private boolean storeAway;
+    private long trueMillis = 1_000_000;
+    private long clockErrorMillis;
+    private String id = "a";
+    private int ids;
+    private long startMillis = trueMillis;
+    private long sequence;
+    private boolean draining;
+    private boolean left;
+
+    /** Whether all nodes have heard of everything, so that every departure binds all of them. */
+    private boolean settled;
+
+    DepartureModel() {
+        process = new Process(nodeMillis(), true);
+        write();
+    }
+
+    private long nodeMillis() {
+        return trueMillis + clockErrorMillis;
+    }
+
+    void play(Step step) {
+        settled = false;
+        trueMillis += 100;
+        switch (step) {
+            case HEARTBEAT -> {
+                if (!left) {
+                    deliver(heartbeat(TargetState.READY));
+                }
+            }
+            case HOLD_HEARTBEAT -> {
+                if (!left && !draining) {
+                    lateHeartbeats.add(heartbeat(TargetState.READY));
+                }
+            }
+            case DELIVER_LATE_HEARTBEAT -> {
+                if (!lateHeartbeats.isEmpty()) {
+                    deliver(lateHeartbeats.poll());
+                }
+            }
+            case DRAIN -> {
+                if (!left) {
+                    draining = true;
+                    deliver(heartbeat(TargetState.DRAINING));
+                    acknowledged();
+                }
+            }
+            case DEREGISTER -> deregister(0);
+            case DEREGISTER_WITH_START -> deregister(startMillis);
+            case NEW_START -> begin(id);
+            case NEW_TARGET -> begin("b" + ids++);
+            case RESTART -> process = new Process(nodeMillis(), false);
+            case STORE_AWAY -> storeAway = true;
+            case STORE_BACK -> {
+                storeAway = false;
+                write();
+            }
+            case READ_STORE -> readStore();
+            case EXCHANGE_WITH_FIRST -> exchange(others.get(0));
+            case EXCHANGE_WITH_SECOND -> exchange(others.get(1));
+            case EXCHANGE_OF_OTHERS -> {
+                List.copyOf(others.get(0).nodes()).forEach(others.get(1)::merge);
+                List.copyOf(others.get(1).nodes()).forEach(others.get(0)::merge);
+            }
+            case CLOCK_BACK -> clockErrorMillis = -CLOCK_STEP_MILLIS;
+            case CLOCK_FORWARD -> clockErrorMillis = CLOCK_STEP_MILLIS;
+        }
+    }
+
+    /** Ends all disturbances and lets everybody hear of everything. */
+    void settle() {
+        storeAway = false;
+        clockErrorMillis = 0;
+        readStore();
+        for (int round = 0; round < 2; round++) {
+            others.forEach(this::exchange);
+        }
+        settled = true;
+    }
+
+    private Heartbeat heartbeat(TargetState state) {
+        return new Heartbeat(id, startMillis, ++sequence, TARGET, SERVICE, 4, state, 0);
+    }
+
+    private void deliver(Heartbeat heartbeat) {
+        process.register.apply(heartbeat, 0);
+        publish();
+    }
+
+    private void deregister(long start) {
+        if (left) {
+            return;
+        }
+        left = true;
+        // A target younger than the clock step is the limit that docs/platform.md names.
+        boolean clockHidesStart = nodeMillis() < startMillis;
+        process.register.depart(id, clockHidesStart ? startMillis : start, nodeMillis());
+        publish();
+        acknowledged();
+    }
+
+    private void begin(String newId) {
+        trueMillis += RESTART_MILLIS;
+        id = newId;
+        startMillis = trueMillis;
+        sequence = 0;
+        draining = false;
+        left = false;
+    }
+
+    /**
+     * Notes a departure that must hold from now on: it is stored, or another node has heard of it.
+     */
+    private void acknowledged() {
+        boolean isStored =
+                stored.filter(entry -> entry.departures().covers(id, startMillis)).isPresent();
+        if (!isStored && others.stream().noneMatch(this::knowsDeparture)) {
+            // The store is away and so are the other nodes: see the limits in docs/platform.md.
+            exchange(others.get(0));
+        }
+        departed.merge(id, startMillis, Math::max);
+    }
+
+    private boolean knowsDeparture(Directory directory) {
+        return directory
+                .node(NODE)
+                .filter(entry -> entry.departures().covers(id, startMillis))
+                .isPresent();
+    }
+
+    /** Publishes the state of the register, as LocalTarget does after each change. */
+    private void publish() {
+        process.own.addDepartures(process.register.departures());
+        Optional<TargetEntry> target =
+                process.formerKnown ? process.register.current(0) : Optional.empty();
+        if (!process.own.entry().target().equals(target)) {
+            process.own.setTarget(target);
+        }
+        process.directory.merge(process.own.entry());
+        write();
+    }
+
+    private void write() {
+        if (!storeAway && process.formerKnown) {
+            stored = Optional.of(process.own.entry());
+        }
+    }
+
+    private void readStore() {
+        if (!storeAway && !process.formerKnown) {
+            stored.ifPresent(this::receive);
+            process.formerKnown = true;
+            publish();
+        }
+    }
+
+    /** A digest exchange that finds a difference: both sides merge all entries of the other one. */
+    private void exchange(Directory other) {
+        process.directory.merge(process.own.entry());
+        List<NodeEntry> sent = new ArrayList<>(process.directory.nodes());
+        List<NodeEntry> reply = new ArrayList<>(other.nodes());
+        sent.forEach(other::merge);
+        reply.forEach(this::receive);
+        // The other side answers with what it knows beyond the received entries.
+        List.copyOf(other.nodes()).forEach(this::receive);
+        process.heardFrom.add(other);
+        List.copyOf(process.directory.nodes()).forEach(other::merge);
+    }
+
+    /** Follows FleetSync#mergeEntry. */
+    private void receive(NodeEntry entry) {
+        OwnEntry.News news = process.own.compare(entry);
+        process.register.adopt(news.departures());
+        if (!process.formerKnown) {
+            news.previousTarget().ifPresent(target -> process.register.restore(target, 0));
+        }
+        if (news.superseding()) {
+            process.own.raiseAbove(entry);
+        }
+        publish();
+    }
+
+    /**
+     * Returns the departed starts that some node would send requests to. The node itself counts
+     * once it has read the store or heard from both other nodes.
+     */
+    Set<String> departedStartsInUse() {
+        Set<String> inUse = new LinkedHashSet<>();
+        for (Directory other : others) {
+            if (settled || knowsAllDepartures(other)) {
+                inUse.addAll(departedIn(other));
+            }
+        }
+        if (settled || process.heardFrom.containsAll(others)) {
+            inUse.addAll(departedIn(process.directory));
+        }
+        return inUse;
+    }
+
+    /** Whether a node has heard of the departures; before that no acknowledgement binds it. */
+    private boolean knowsAllDepartures(Directory other) {
+        return other.node(NODE)
+                .filter(
+                        entry ->
+                                departed.entrySet().stream()
+                                        .allMatch(
+                                                start ->
+                                                        entry.departures()
+                                                                .covers(
+                                                                        start.getKey(),
+                                                                        start.getValue())))
+                .isPresent();
+    }
+
+    private Set<String> departedIn(Directory directory) {
+        Set<String> found = new LinkedHashSet<>();
+        for (NodeEntry entry : directory.usable(SERVICE)) {
+            TargetEntry target = entry.target().orElseThrow();
+            if (target.startMillis() <= departed.getOrDefault(target.id(), Long.MIN_VALUE)) {
+                found.add(target.id() + " of " + target.startMillis());
+            }
+        }
+        return found;
+    }
+
+    boolean currentStartIsUsableEverywhere() {
+        List<Directory> all = new ArrayList<>(others);
+        all.add(process.directory);
+        return all.stream()
+                .allMatch(
+                        directory ->
+                                directory.usable(SERVICE).stream()
+                                        .map(entry -> entry.target().orElseThrow())
+                                        .anyMatch(
+                                                target ->
+                                                        target.id().equals(id)
+                                                                && target.startMillis()
+                                                                        == startMillis));
+    }
+}
--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -14,7 +14,7 @@
 /** Guards against late heartbeats that restore a target which has departed or restarted. */
 class TargetRegisterTest {
     private static final String ADDRESS = "10.0.0.1:8301";
-    private static final long NOW_MILLIS = 1_000;
+    private static final long NOW_MILLIS = 6;
     private static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(6);
 
     private sealed interface Step {
@@ -79,6 +79,10 @@
                                 new Step.Depart("a", 0),
                                 new Step.Restore("b", 5, Condition.SERVING)),
                         "b SERVING"),
+                // The latest start has departed, although none of its heartbeats has arrived yet.
+                Arguments.of(
+                        List.of(ready("a", 3, 9), new Step.Depart("a", 0), ready("a", 5, 1)),
+                        "a GONE"),
                 // A late departure of an earlier start does not end the current one.
                 Arguments.of(List.of(ready("a", 9, 1), new Step.Depart("a", 5)), "a SERVING"),
                 // A target at another address is not the one beside this node.
--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -30,7 +30,8 @@
             assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 1));
             assertUnused(fleet);
             // A new start under the same id is another target.
-            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", 2));
+            long newStart = System.currentTimeMillis();
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", newStart));
             SidecarFleet.await("the new start serves", () -> served(fleet, 0));
             restart(fleet);
             SidecarFleet.await("it serves after a restart", () -> served(fleet, 0));
