Do not take the bytes of an answered request for the next head

A connection whose request was answered at once (404, or 503 without a target) got an unasked 408 after the header timeout and was closed: the bytes of the complete request counted as the begin of another head, since no exchange was left when the read batch ended.

Evidence: the new case of SidecarFleetTest found 70 bytes (the 408) after 3.5 s and finds none with the change; the next request there is served.

--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -71,6 +71,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        if (message instanceof LastHttpContent) {
+            // The bytes read so far belong to a complete request, not to the next head.
+            bytesArrived = false;
+        }
         if (closing) {
             ReferenceCountUtil.release(message);
         } else if (exchange != null) {
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -286,6 +286,30 @@
         }
     }
 
+    /**
+     * Guards against an unasked 408 on a connection whose last request was answered at once, as if
+     * its bytes had begun the next head.
+     */
+    @Test
+    void connectionStaysUsableAfterARequestThatIsAnsweredAtOnce() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop");
+                Socket caller = new Socket(fleet.ip(0), SidecarFleet.ENTRY_PORT)) {
+            String unknown =
+                    "GET /nowhere/ HTTP/1.1\r\nHost: "
+                            + ProtocolRequests.HOST
+                            + "\r\nX-Azureshed-Request-Id: unknown\r\n\r\n";
+            caller.setSoTimeout(5_000);
+            caller.getOutputStream().write(unknown.getBytes(StandardCharsets.US_ASCII));
+            assertTrue(readUntil(caller.getInputStream(), "\r\n\r\n").contains(" 404 "));
+            // The header timeout of the configuration is 3 s.
+            TimeUnit.MILLISECONDS.sleep(3_500);
+            assertEquals(0, caller.getInputStream().available());
+            send(caller, "next");
+            String answer = readUntil(caller.getInputStream(), "\r\n\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+        }
+    }
+
     private static void send(Socket caller, String id) throws Exception {
         String request =
                 "GET /read/a HTTP/1.1\r\nHost: "
