Resume reading before a connection returns to its pool

A receiver that was slow at the end of a response left the connection in its pool with reading switched off; the next call on it got no answer until its deadline. A finished exchange also passed the pauses of its receiver on to whatever call its former connection carried by then.

Evidence: PausedConnectionTest timed out before and passes with the change.

--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -278,6 +278,8 @@
         CallListener ended = listener;
         listener = null;
         cancelDrainTimer();
+        // The receiver of this response may have paused reading; the next call must not inherit it.
+        setAutoRead(true);
         if (reusable && requestWritten && open()) {
             // Released when the read batch is complete, so that trailing bytes are detected before.
             releasePending = true;
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -164,7 +164,8 @@
     }
 
     void writabilityChanged(boolean writable) {
-        if (targetConnection != null && responseStarted) {
+        // After its end the connection may already carry another call.
+        if (!done && targetConnection != null && responseStarted) {
             targetConnection.setAutoRead(writable);
         }
     }
