Check departures at each layer in the model of departures

Four of five rules could be switched off without a failing property: another layer hid the departed target before anybody looked. The model now follows what each node has heard of, looks at the register as well as at the directories, and loses replies.

--- a/src/test/java/org/azureshed/directory/DepartureModel.java
+++ b/src/test/java/org/azureshed/directory/DepartureModel.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,9 @@
         STORE_BACK,
         /** A restarted node reads its former entry, if the store answers. */
         READ_STORE,
+        /** The node's entry arrives at another node, whose reply is lost. */
+        SEND_TO_FIRST,
+        SEND_TO_SECOND,
         EXCHANGE_WITH_FIRST,
         EXCHANGE_WITH_SECOND,
         EXCHANGE_OF_OTHERS,
@@ -57,7 +61,7 @@
                 new TargetRegister(TARGET, TimeUnit.DAYS.toNanos(1));
         private final Directory directory = new Directory();
         private final OwnEntry own;
-        private final Set<Directory> heardFrom = new LinkedHashSet<>();
+        private final Map<String, Long> heard = new HashMap<>();
         private boolean formerKnown;
 
         Process(long incarnation, boolean firstStart) {
@@ -77,6 +81,7 @@
     }
 
     private final List<Directory> others = List.of(new Directory(), new Directory());
+    private final Map<Directory, Map<String, Long>> heard = new IdentityHashMap<>();
     private final Deque<Heartbeat> lateHeartbeats = new ArrayDeque<>();
 
     /** The last departed start by target id, of the departures that must hold. */
@@ -98,6 +103,7 @@
     private boolean settled;
 
     DepartureModel() {
+        others.forEach(other -> heard.put(other, new HashMap<>()));
         process = new Process(nodeMillis(), true);
         write();
     }
@@ -143,6 +149,8 @@
                 write();
             }
             case READ_STORE -> readStore();
+            case SEND_TO_FIRST -> others.get(0).merge(process.own.entry());
+            case SEND_TO_SECOND -> others.get(1).merge(process.own.entry());
             case EXCHANGE_WITH_FIRST -> exchange(others.get(0));
             case EXCHANGE_WITH_SECOND -> exchange(others.get(1));
             case EXCHANGE_OF_OTHERS -> {
@@ -152,6 +160,7 @@
             case CLOCK_BACK -> clockErrorMillis = -CLOCK_STEP_MILLIS;
             case CLOCK_FORWARD -> clockErrorMillis = CLOCK_STEP_MILLIS;
         }
+        noteWhatIsHeard();
     }
 
     /** Ends all disturbances and lets everybody hear of everything. */
@@ -163,6 +172,7 @@
             others.forEach(this::exchange);
         }
         settled = true;
+        noteWhatIsHeard();
     }
 
     private Heartbeat heartbeat(TargetState state) {
@@ -250,7 +260,6 @@
         reply.forEach(this::receive);
         // The other side answers with what it knows beyond the received entries.
         List.copyOf(other.nodes()).forEach(this::receive);
-        process.heardFrom.add(other);
         List.copyOf(process.directory.nodes()).forEach(other::merge);
     }
 
@@ -268,42 +277,49 @@
     }
 
     /**
-     * Returns the departed starts that some node would send requests to. The node itself counts
-     * once it has read the store or heard from both other nodes.
+     * Returns the departed starts that some node would use although it has heard of the departure:
+     * the register of the node itself, or a directory.
      */
     Set<String> departedStartsInUse() {
         Set<String> inUse = new LinkedHashSet<>();
+        process.register
+                .current(0)
+                .filter(target -> target.condition().usable())
+                .filter(target -> hasDeparted(process.heard, target))
+                .ifPresent(target -> inUse.add("register: " + target.id()));
+        inUse.addAll(departedIn(process.directory, process.heard));
         for (Directory other : others) {
-            if (settled || knowsAllDepartures(other)) {
-                inUse.addAll(departedIn(other));
-            }
-        }
-        if (settled || process.heardFrom.containsAll(others)) {
-            inUse.addAll(departedIn(process.directory));
+            inUse.addAll(departedIn(other, heard.get(other)));
         }
         return inUse;
     }
 
-    /** Whether a node has heard of the departures; before that no acknowledgement binds it. */
-    private boolean knowsAllDepartures(Directory other) {
-        return other.node(NODE)
-                .filter(
-                        entry ->
-                                departed.entrySet().stream()
-                                        .allMatch(
-                                                start ->
-                                                        entry.departures()
-                                                                .covers(
-                                                                        start.getKey(),
-                                                                        start.getValue())))
-                .isPresent();
+    /** Notes which departures each node has heard of; it must never forget them. */
+    private void noteWhatIsHeard() {
+        noteHeard(process.register.departures(), process.heard);
+        for (Directory other : others) {
+            other.node(NODE).ifPresent(entry -> noteHeard(entry.departures(), heard.get(other)));
+        }
+    }
+
+    private void noteHeard(Departures departures, Map<String, Long> heardDepartures) {
+        departed.forEach(
+                (target, start) -> {
+                    if (settled || departures.covers(target, start)) {
+                        heardDepartures.merge(target, start, Math::max);
+                    }
+                });
+    }
+
+    private static boolean hasDeparted(Map<String, Long> departures, TargetEntry target) {
+        return target.startMillis() <= departures.getOrDefault(target.id(), Long.MIN_VALUE);
     }
 
-    private Set<String> departedIn(Directory directory) {
+    private static Set<String> departedIn(Directory directory, Map<String, Long> departures) {
         Set<String> found = new LinkedHashSet<>();
         for (NodeEntry entry : directory.usable(SERVICE)) {
             TargetEntry target = entry.target().orElseThrow();
-            if (target.startMillis() <= departed.getOrDefault(target.id(), Long.MIN_VALUE)) {
+            if (hasDeparted(departures, target)) {
                 found.add(target.id() + " of " + target.startMillis());
             }
         }
--- a/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
+++ b/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
@@ -36,6 +36,8 @@
                         Tuple.of(2, DepartureModel.Step.STORE_AWAY),
                         Tuple.of(2, DepartureModel.Step.STORE_BACK),
                         Tuple.of(3, DepartureModel.Step.READ_STORE),
+                        Tuple.of(3, DepartureModel.Step.SEND_TO_FIRST),
+                        Tuple.of(3, DepartureModel.Step.SEND_TO_SECOND),
                         Tuple.of(3, DepartureModel.Step.EXCHANGE_WITH_FIRST),
                         Tuple.of(3, DepartureModel.Step.EXCHANGE_WITH_SECOND),
                         Tuple.of(2, DepartureModel.Step.EXCHANGE_OF_OTHERS),
