Reject a heartbeat that cannot be the local target's

A heartbeat of another writer with the local target's address and a later start displaced the local target for good, even if it named a service that no route leads to or lacked fields that the node does not use: its own heartbeats then counted as those of an earlier start.

Such a heartbeat is answered 400 and logged as heartbeat_unreadable. A service is known if it is the local one or some route leads to it; before the first configuration any service is accepted.

--- a/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
+++ b/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The configuration of a node's entry side: routes and limits of callers' connections. Immutable.
@@ -20,6 +22,7 @@
     private final long version;
     private final CallerLimits limits;
     private final Map<String, List<ForwardRoute>> routesByHost;
+    private final Set<String> services;
 
     /**
      * Limits of callers' connections and requests.
@@ -65,6 +68,11 @@
                                                 route.host(), key -> new java.util.ArrayList<>())
                                         .add(route));
         this.routesByHost = byHost;
+        this.services =
+                routes.stream()
+                        .flatMap(route -> route.shares().stream())
+                        .map(ForwardRoute.Share::service)
+                        .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -88,6 +96,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Services that some route leads to.
+     *
+     * @return names of the services, unmodifiable
+     */
+    public Set<String> services() {
+        return services;
+    }
+
     /**
      * Version of this configuration.
      *
--- a/src/main/java/org/azureshed/platform/HeartbeatHandler.java
+++ b/src/main/java/org/azureshed/platform/HeartbeatHandler.java
@@ -40,15 +40,12 @@
         }
         String id = path.substring(PATH_PREFIX.length());
         Runnable acknowledge = () -> reply.accept(ACKNOWLEDGED);
-        Runnable call;
         try {
-            call = decode(method, id, body, acknowledge);
+            decode(method, id, body, acknowledge).run();
         } catch (IOException | IllegalArgumentException e) {
             log.write("heartbeat_unreadable", "target", id, "cause", e.getMessage());
             reply.accept(Reply.of(400));
-            return;
         }
-        call.run();
     }
 
     private Runnable decode(String method, String id, byte[] body, Runnable acknowledge)
@@ -70,6 +67,9 @@
     private static Heartbeat heartbeat(String id, JsonNode json) {
         JsonNode info = json.path("info");
         JsonNode status = json.path("status");
+        // Not used, but a heartbeat without them comes from another writer.
+        JsonFields.text(info, "version");
+        JsonFields.text(info, "zone");
         return new Heartbeat(
                 id,
                 startMillis(json),
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -1,7 +1,10 @@
 package org.azureshed.sidecar;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.azureshed.directory.Departures;
 import org.azureshed.directory.Heartbeat;
 import org.azureshed.directory.TargetEntry;
@@ -35,6 +38,7 @@
     private static final long TICK_MILLIS = 250;
 
     private final TargetRegister register;
+    private final Predicate<String> knowsService;
     private final HostService host;
     private final FleetSync fleet;
     private final EventLoop loop;
@@ -44,6 +48,7 @@
 
     LocalTarget(
             SidecarSettings settings,
+            Predicate<String> knowsService,
             HostService host,
             FleetSync fleet,
             EventLoop loop,
@@ -52,6 +57,7 @@
         long silenceNanos =
                 TimeUnit.MILLISECONDS.toNanos(settings.heartbeatMillis() * MAX_MISSED_HEARTBEATS);
         this.register = new TargetRegister(settings.targetAddress(), silenceNanos);
+        this.knowsService = knowsService;
         this.host = host;
         this.fleet = fleet;
         this.loop = loop;
@@ -89,6 +95,8 @@
 
     @Override
     public void heartbeat(Heartbeat heartbeat, Runnable acknowledge) {
+        checkArgument(
+                knowsService.test(heartbeat.service()), "unknown service %s", heartbeat.service());
         TargetRegister.Change change = register.apply(heartbeat, System.nanoTime());
         if (change != TargetRegister.Change.NONE) {
             log.write(
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -152,7 +152,8 @@
                         unusable,
                         metrics,
                         log);
-        this.target = new LocalTarget(settings, host, fleet, loop, metrics, log);
+        this.target =
+                new LocalTarget(settings, entry::knowsService, host, fleet, loop, metrics, log);
         this.watch =
                 new ConfigurationWatch(
                         store, loop, configuration, random.split(), unusable, metrics, log);
--- a/src/main/java/org/azureshed/sidecar/TargetListener.java
+++ b/src/main/java/org/azureshed/sidecar/TargetListener.java
@@ -9,6 +9,8 @@
      *
      * @param heartbeat state that the target reports
      * @param acknowledge run once the reported state has taken effect
+     * @throws IllegalArgumentException if the heartbeat names a service that does not exist, so
+     *     that it cannot be the local target's
      */
     void heartbeat(Heartbeat heartbeat, Runnable acknowledge);
 
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -91,6 +91,17 @@
         configuration = Optional.of(next);
     }
 
+    /**
+     * Whether some request may be meant for a service.
+     *
+     * @param service name of the service
+     * @return true if it is the local one, a route leads to it, or no configuration is loaded
+     */
+    public boolean knowsService(String service) {
+        return service.equals(localService.get())
+                || configuration.map(loaded -> loaded.services().contains(service)).orElse(true);
+    }
+
     /**
      * Closes the connections without a request, so that no new request is read and then aborted.
      */
