--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -64,6 +64,7 @@
     private final DecisionLog log;
     private final PeerMessageCodec codec;
     private final UnusableEntries unusable;
+    private final StoredNodeEntries storedEntries;
     private final TrafficEvents events;
     private final Backoff listBackoff;
     private final OwnEntryStore ownStore;
@@ -101,6 +102,7 @@
         this.random = random;
         this.codec = codec;
         this.unusable = unusable;
+        this.storedEntries = new StoredNodeEntries(unusable);
         this.events = events;
         this.log = log;
         this.listBackoff = new Backoff(random.split());
@@ -271,28 +273,13 @@
 
     /** Merges the entries of a store response; returns whether one of another node changed. */
     private boolean mergeStored(FleetStore.Result.Done done) {
-        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
         boolean changed = false;
-        for (FleetStore.StoredEntry stored : done.entries()) {
-            Optional<NodeEntry> entry = decode(stored);
-            changed |= entry.isPresent() && mergeEntry(entry.get());
+        for (NodeEntry entry : storedEntries.decode(done)) {
+            changed |= mergeEntry(entry);
         }
         return changed;
     }
 
-    private Optional<NodeEntry> decode(FleetStore.StoredEntry stored) {
-        try {
-            NodeEntry entry = NodeEntryCodec.decode(stored.content(), System.currentTimeMillis());
-            if (entry.name().equals(stored.name())) {
-                return Optional.of(entry);
-            }
-            unusable.report(KIND, stored.name(), "entry of another name: " + entry.name());
-        } catch (IllegalArgumentException e) {
-            unusable.report(KIND, stored.name(), e.getMessage());
-        }
-        return Optional.empty();
-    }
-
     /**
      * Merges an entry into the directory. An entry of an earlier process of this node that would
      * supersede the current one makes the node choose a higher incarnation. Returns whether an
