--- a/src/test/java/org/azureshed/directory/DepartureModel.java
+++ b/src/test/java/org/azureshed/directory/DepartureModel.java
@@ -28,6 +28,7 @@
     /** A target that leaves and comes back under the same id needs longer than a clock step. */
     private static final long RESTART_MILLIS = 5_000;
 
+    /** A change in the target, the node, the store, a clock or between nodes. */
     enum Step {
         HEARTBEAT,
         /** The target sends a heartbeat that is held up on its way. */
@@ -156,9 +157,13 @@
             case EXCHANGE_OF_OTHERS -> {
                 List.copyOf(others.get(0).nodes()).forEach(others.get(1)::merge);
                 List.copyOf(others.get(1).nodes()).forEach(others.get(0)::merge);
+                // Each now knows what the other one knew, however old the entry that told it.
+                heard.get(others.get(0)).putAll(heard.get(others.get(1)));
+                heard.get(others.get(1)).putAll(heard.get(others.get(0)));
             }
             case CLOCK_BACK -> clockErrorMillis = -CLOCK_STEP_MILLIS;
             case CLOCK_FORWARD -> clockErrorMillis = CLOCK_STEP_MILLIS;
+            default -> throw new IllegalArgumentException("unknown step " + step);
         }
         noteWhatIsHeard();
     }
--- a/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
+++ b/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
@@ -69,6 +69,24 @@
         assertTrue(model.currentStartIsUsableEverywhere(), history::toString);
     }
 
+    /**
+     * A node heard of a departure, the store and the next process did not. Another node gets the
+     * new entry first and the older one, with the departure, later.
+     */
+    @Example
+    void departureInAnOlderEntryCounts() {
+        departedStartIsNeverUsedAgain(
+                List.of(
+                        DepartureModel.Step.HEARTBEAT,
+                        DepartureModel.Step.STORE_AWAY,
+                        DepartureModel.Step.DEREGISTER,
+                        DepartureModel.Step.RESTART,
+                        DepartureModel.Step.STORE_BACK,
+                        DepartureModel.Step.READ_STORE,
+                        DepartureModel.Step.SEND_TO_SECOND,
+                        DepartureModel.Step.EXCHANGE_OF_OTHERS));
+    }
+
     /** The register forgets the oldest starts first, in whichever order departures arrive. */
     @Property
     void unionDoesNotDependOnTheOrder(@ForAll List<Integer> starts) {
