--- a/src/test/java/org/azureshed/process/SoakFleet.java
+++ b/src/test/java/org/azureshed/process/SoakFleet.java
@@ -238,13 +238,18 @@
         node.process.destroyForcibly().waitFor();
     }
 
-    /** Sends SIGTERM, and SIGKILL if the process runs longer than its grace period. */
-    void terminate(Node node) throws InterruptedException {
+    /**
+     * Sends SIGTERM, and SIGKILL if the process runs longer than its grace period. Returns whether
+     * it ended by itself.
+     */
+    boolean terminate(Node node) throws InterruptedException {
         node.expectedExits.add(node.process);
         node.process.destroy();
-        if (!node.process.waitFor(STOP_GRACE_SECONDS, TimeUnit.SECONDS)) {
+        boolean ended = node.process.waitFor(STOP_GRACE_SECONDS, TimeUnit.SECONDS);
+        if (!ended) {
             node.process.destroyForcibly().waitFor();
         }
+        return ended;
     }
 
     /**
--- a/src/test/java/org/azureshed/process/SoakTarget.java
+++ b/src/test/java/org/azureshed/process/SoakTarget.java
@@ -26,6 +26,9 @@
     private static final long ADDRESS_REUSE_DELAY_MILLIS = 500;
     private static final int BIND_ATTEMPTS = 100;
 
+    /** Delay of a heartbeat that was sent before the departure, after its acknowledgement. */
+    private static final long LATE_HEARTBEAT_MILLIS = 1_000;
+
     private final int node;
     private final String service;
     private final String ip;
@@ -91,9 +94,13 @@
         }
     }
 
-    /** Announces the departure or deregisters, serves for the drain time, and is replaced. */
+    /**
+     * Announces the departure or deregisters, serves for the drain time, and is replaced. A
+     * heartbeat that it sent before arrives in between.
+     */
     void depart(boolean announced) throws Exception {
         heartbeatsEnabled = false;
+        String lateHeartbeat = heartbeatBody("ready");
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(ACKNOWLEDGEMENT_TIMEOUT_SECONDS);
         boolean acknowledged = false;
         while (!acknowledged && System.nanoTime() < end && !closed) {
@@ -102,7 +109,10 @@
         if (acknowledged) {
             departureNanos = System.nanoTime();
         }
-        TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS + ADDRESS_REUSE_DELAY_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(LATE_HEARTBEAT_MILLIS);
+        callNode("PUT", id, lateHeartbeat);
+        TimeUnit.MILLISECONDS.sleep(
+                DRAIN_MILLIS + ADDRESS_REUSE_DELAY_MILLIS - LATE_HEARTBEAT_MILLIS);
         if (announced) {
             deregister();
         }
@@ -128,18 +138,21 @@
         String name;
         synchronized (this) {
             name = id;
-            body =
-                    ProtocolRequests.heartbeat(
-                            ip + ':' + SoakFleet.TARGET_RELAY_PORT,
-                            service,
-                            SLOTS,
-                            state,
-                            ++sequence,
-                            startMillis);
+            body = heartbeatBody(state);
         }
         return callNode("PUT", name, body);
     }
 
+    private synchronized String heartbeatBody(String state) {
+        return ProtocolRequests.heartbeat(
+                ip + ':' + SoakFleet.TARGET_RELAY_PORT,
+                service,
+                SLOTS,
+                state,
+                ++sequence,
+                startMillis);
+    }
+
     private boolean deregister() throws InterruptedException {
         return callNode("DELETE", id, "");
     }
