--- a/src/test/java/org/azureshed/directory/TargetRegisterTest.java
+++ b/src/test/java/org/azureshed/directory/TargetRegisterTest.java
@@ -91,6 +91,16 @@
                                 ready("a", 5, 1),
                                 new Step.Announce("x", 9, 1, TargetState.READY, "10.0.0.2:8301")),
                         "a SERVING"),
+                // A target without heartbeats is gone until the next heartbeat arrives.
+                Arguments.of(List.of(ready("a", 5, 1), new Step.Wait(7)), "a GONE"),
+                Arguments.of(
+                        List.of(ready("a", 5, 1), new Step.Wait(7), ready("a", 5, 2)),
+                        "a SERVING"));
+    }
+
+    /** What an earlier process of the node left behind. */
+    static Stream<Arguments> restarts() {
+        return Stream.of(
                 // The node restores the state that it published before its own restart.
                 Arguments.of(List.of(new Step.Restore("a", 5, Condition.SERVING)), "a SERVING"),
                 Arguments.of(
@@ -124,16 +134,11 @@
                         List.of(
                                 new Step.Adopt("a", 5),
                                 new Step.Restore("a", 9, Condition.SERVING)),
-                        "a SERVING"),
-                // A target without heartbeats is gone until the next heartbeat arrives.
-                Arguments.of(List.of(ready("a", 5, 1), new Step.Wait(7)), "a GONE"),
-                Arguments.of(
-                        List.of(ready("a", 5, 1), new Step.Wait(7), ready("a", 5, 2)),
                         "a SERVING"));
     }
 
     @ParameterizedTest
-    @MethodSource("sessions")
+    @MethodSource({"sessions", "restarts"})
     void latestStartDeterminesTheState(List<Step> steps, String expected) {
         TargetRegister register =
                 new TargetRegister(Endpoint.parse(ADDRESS), HEARTBEAT_TIMEOUT_NANOS);
--- a/src/test/java/org/azureshed/dispatch/ExchangeTest.java
+++ b/src/test/java/org/azureshed/dispatch/ExchangeTest.java
@@ -254,7 +254,6 @@
 
     static Stream<Arguments> offers() {
         ExchangeEvent timerFired = new ExchangeEvent.TimerFired();
-        ExchangeEvent startsEnded = new ExchangeEvent.StartsEnded();
         return Stream.of(
                 // Busy targets are asked to queue the request, the shortest expected wait first.
                 Arguments.of(
@@ -291,7 +290,12 @@
                         2,
                         1,
                         List.of(START, timerFired),
-                        List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")),
+                        List.of("n0 IMMEDIATE", "cancel 0", "refuse DEADLINE_EXCEEDED")));
+    }
+
+    static Stream<Arguments> stops() {
+        ExchangeEvent startsEnded = new ExchangeEvent.StartsEnded();
+        return Stream.of(
                 // A stopping node refuses what no target has received, and lets the rest end.
                 Arguments.of(
                         false,
@@ -341,7 +345,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource({"failures", "offers"})
+    @MethodSource({"failures", "offers", "stops"})
     void eventsLeadToTheExpectedEffects(
             boolean repeatable,
             int attempts,
--- a/src/test/java/org/azureshed/platform/EndlessBytesTest.java
+++ b/src/test/java/org/azureshed/platform/EndlessBytesTest.java
@@ -39,7 +39,6 @@
 
     static Stream<Arguments> cases() {
         List<Integer> failed = List.of(502, 504);
-        List<Integer> refused = List.of(503);
         List<Integer> failedOrCut = List.of(200, 502, 504);
         return Stream.of(
                         new Case("interim", "", "HTTP/1.1 102 Processing\r\n\r\n", failed),
@@ -79,6 +78,17 @@
                                         + "X-Azureshed-Response-Signature: s\r\n\r\n",
                                 BLOCK,
                                 failed),
+                        new Case(
+                                "after a complete response",
+                                "HTTP/1.1 200 OK\r\n" + GENUINE + "Content-Length: 2\r\n\r\nok",
+                                "x",
+                                List.of(200)))
+                .flatMap(EndlessBytesTest::fastAndSlow);
+    }
+
+    static Stream<Arguments> refusals() {
+        List<Integer> refused = List.of(503);
+        return Stream.of(
                         new Case(
                                 "refusal with a length",
                                 "HTTP/1.1 503 Full\r\nX-Azureshed-Not-Executed: 1\r\n"
@@ -103,24 +113,19 @@
                                 "misdirected until close",
                                 "HTTP/1.1 421 Misdirected\r\nX-Azureshed-Request-Id: ID\r\n\r\n",
                                 BLOCK,
-                                refused),
-                        new Case(
-                                "after a complete response",
-                                "HTTP/1.1 200 OK\r\n" + GENUINE + "Content-Length: 2\r\n\r\nok",
-                                "x",
-                                List.of(200)))
-                .flatMap(
-                        endless ->
-                                Stream.of(0L, 1_000L)
-                                        .map(
-                                                pause ->
-                                                        Arguments.of(
-                                                                endless.name(),
-                                                                new Behaviour.Endless(
-                                                                        endless.prefix(),
-                                                                        endless.repeated(),
-                                                                        pause),
-                                                                endless.statuses())));
+                                refused))
+                .flatMap(EndlessBytesTest::fastAndSlow);
+    }
+
+    private static Stream<Arguments> fastAndSlow(Case endless) {
+        return Stream.of(0L, 1_000L)
+                .map(
+                        pause ->
+                                Arguments.of(
+                                        endless.name(),
+                                        new Behaviour.Endless(
+                                                endless.prefix(), endless.repeated(), pause),
+                                        endless.statuses()));
     }
 
     /**
@@ -128,7 +133,7 @@
      * memory of a node, or is taken for a complete one.
      */
     @ParameterizedTest(name = "{0}: {1}")
-    @MethodSource("cases")
+    @MethodSource({"cases", "refusals"})
     void endlessResponseEndsInTime(String name, Behaviour.Endless endless, List<Integer> statuses)
             throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop")) {
