Keep the other target of DepartureTest alive

departureIsNotUndoneByTheFormerEntry failed in one run beside load: 503 instead of 200 from the target that stays. The log shows its only heartbeat 6.2 s before, so it counted as gone; the restarted node had been ready only 5.1 s after its start, since it waits for the store with growing pauses. The target now sends another heartbeat before the checks, which stay as they are.

--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -133,6 +133,8 @@
      * zone, then without any other.
      */
     private static void assertUnused(SidecarFleet fleet) throws Exception {
+        // The other target counts as gone 6 s after its first heartbeat.
+        assertEquals(200, fleet.heartbeat(0, "shop", "ready", 1));
         TimeUnit.MILLISECONDS.sleep(500);
         int before = fleet.targets.get(LEAVING).executions().size();
         for (int i = 0; i < 20; i++) {
