Use the former entry before the first write after a restart

A restarted node served its target up to 0.25 s later than before, and stored an entry without it first: the former entry was handed on before it counted as known, so the target waited for the next tick. And an unexpected error while it was handed on would have kept the node from storing its entry, and so from listing the others and becoming ready.

Evidence: both cases of OwnEntryStoreTest failed before (former entry not known; no write after the error) and pass with the change.

--- a/src/main/java/org/azureshed/sidecar/OwnEntryStore.java
+++ b/src/main/java/org/azureshed/sidecar/OwnEntryStore.java
@@ -67,8 +67,8 @@
     /**
      * Starts storing the entry.
      *
-     * @param formerListener receives the entry of the former process, if there is one, before it is
-     *     replaced
+     * @param formerListener receives the entry of the former process, if there is one; what it
+     *     changes in the current entry is part of the first write
      * @param storedListener runs after each write
      */
     void start(Consumer<FleetStore.Result.Done> formerListener, Runnable storedListener) {
@@ -113,17 +113,30 @@
 
     private void onFormerRead(FleetStore.Result result) {
         switch (result) {
-            case FleetStore.Result.Done done -> onFormer.accept(done);
-            case FleetStore.Result.Missing ignored -> objectExists = false;
+            case FleetStore.Result.Done done -> {
+                formerRead();
+                try {
+                    onFormer.accept(done);
+                } finally {
+                    // A former entry that cannot be used must not keep the node from starting.
+                    write();
+                }
+            }
+            case FleetStore.Result.Missing ignored -> {
+                objectExists = false;
+                formerRead();
+                write();
+            }
             default -> {
                 log.write("entry_read_failed", "result", result);
                 loop.schedule(this::readFormer, backoff.next(), TimeUnit.MILLISECONDS);
-                return;
             }
         }
+    }
+
+    private void formerRead() {
         backoff.reset();
         formerKnown = true;
-        write();
     }
 
     private void write() {
