--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -29,8 +29,8 @@
 
     /**
      * Longest time after a start in which the target is not used because the former entry of this
-     * node, which tells what has departed, cannot be read. Other nodes use a restarted one no
-     * sooner.
+     * node, which tells what has departed, cannot be read. Waiting for the whole outage of the
+     * store would cost the target's capacity.
      */
     private static final long MAX_FORMER_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
