Log bytes behind an answer, and requests carried by a connection

New: bytes_after_answer and unsolicited_bytes with the number of requests that the connection had carried, conn_requests on the offer line, and the status of a skipped foreign answer. Nothing is decided differently.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -35,6 +35,7 @@
     private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
     private final AtomicInteger endlessResponses = new AtomicInteger();
     private final Set<String> firstAnswers = ConcurrentHashMap.newKeySet();
+    private final Map<String, List<Integer>> statuses = new ConcurrentHashMap<>();
     private volatile Function<Request, Behaviour> behaviour;
 
     /**
@@ -113,6 +114,26 @@
          */
         record AnswerAgain(int status, boolean executed, boolean echo) implements Behaviour {}
 
+        /**
+         * Sends the first answer of a connection a second time and stops in the middle of its head.
+         * The next request on the connection runs and gets its own, whole answer; the one after it
+         * counts as the first again.
+         *
+         * @param firstStatus status of the answer that is copied; with 503, 429 or 421 its request
+         *     does not run, otherwise it does
+         * @param nextStatus status of the whole answer to the next request
+         * @param cutAfter text of the head after which the copy stops; {@code ID} is replaced by
+         *     the request identifier
+         * @param delayMicros time in us from the answer to its copy; 0 to send both at once,
+         *     negative to send the copy together with the next answer
+         */
+        record PartialCopy(int firstStatus, int nextStatus, String cutAfter, long delayMicros)
+                implements Behaviour {
+            private boolean runsFirst() {
+                return !List.of(421, 429, 503).contains(firstStatus);
+            }
+        }
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -171,6 +192,16 @@
         return firstAnswers;
     }
 
+    /**
+     * Returns the statuses of the answers of {@link Behaviour.PartialCopy} to one request.
+     *
+     * @param requestId the request identifier
+     * @return the statuses in the order of the answers; empty if there was none
+     */
+    public List<Integer> statuses(String requestId) {
+        return statuses.getOrDefault(requestId, List.of());
+    }
+
     /**
      * Counts the responses without end that callers have not ended yet.
      *
@@ -240,8 +271,22 @@
             write(out, answer);
             return true;
         }
+        if (chosen instanceof Behaviour.PartialCopy partial
+                && !partial.runsFirst()
+                && !lateCopies.containsKey(socket)) {
+            sendWithPartialCopy(partial, request, socket, out);
+            return true;
+        }
         executions.add(request);
         switch (chosen) {
+            case Behaviour.PartialCopy partial -> {
+                String late = lateCopies.remove(socket);
+                if (late == null) {
+                    sendWithPartialCopy(partial, request, socket, out);
+                } else {
+                    write(out, late + response(request, partial.nextStatus(), "own"));
+                }
+            }
             case Behaviour.AnswerAgain again -> {
                 String late = lateCopies.get(socket);
                 if (late == null) {
@@ -287,6 +332,43 @@
         return true;
     }
 
+    /** Answers a request and sends a begun copy of the answer, or keeps it for the next one. */
+    private void sendWithPartialCopy(
+            Behaviour.PartialCopy partial, Request request, Socket socket, OutputStream out)
+            throws IOException, InterruptedException {
+        String answer = response(request, partial.firstStatus(), "first");
+        String cutAfter = partial.cutAfter().replace("ID", request.requestId());
+        String copy = answer.substring(0, answer.indexOf(cutAfter) + cutAfter.length());
+        if (partial.delayMicros() == 0) {
+            write(out, answer + copy);
+        } else {
+            write(out, answer);
+        }
+        if (partial.delayMicros() > 0) {
+            TimeUnit.MICROSECONDS.sleep(partial.delayMicros());
+            write(out, copy);
+        }
+        lateCopies.put(socket, partial.delayMicros() < 0 ? copy : "");
+    }
+
+    /** Returns an answer whose first header is not the request identifier, and notes its status. */
+    private String response(Request request, int status, String body) {
+        statuses.computeIfAbsent(request.requestId(), id -> new CopyOnWriteArrayList<>())
+                .add(status);
+        boolean executed = !List.of(421, 429, 503).contains(status);
+        return "HTTP/1.1 "
+                + status
+                + " Status\r\nContent-Type: text/plain\r\n"
+                + (executed ? "" : "X-Azureshed-Not-Executed: 1\r\n")
+                + "X-Azureshed-Request-Id: "
+                + request.requestId()
+                + (executed ? "\r\nX-Azureshed-Response-Signature: s." + request.requestId() : "")
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
     private void sendEndlessly(Behaviour.Endless endless, Request request, OutputStream out)
             throws IOException, InterruptedException {
         endlessResponses.incrementAndGet();
--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -57,6 +58,7 @@
 
     private final ConnectionPool pool;
     private final Endpoint address;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private CallListener listener;
     private HttpResponse head;
@@ -67,6 +69,7 @@
     /** Whether the connection may carry another call; false once a response forbids it. */
     private boolean reusable = true;
 
+    private int requests;
     private boolean requestWritten;
     private boolean connectionReset;
     private boolean releasePending;
@@ -87,6 +90,15 @@
         return address;
     }
 
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
+    /** Number of requests that the connection carried, including the current one. */
+    int requests() {
+        return requests;
+    }
+
     long idleSinceNanos() {
         return idleSinceNanos;
     }
@@ -120,6 +132,9 @@
 
     /** Writes a part of the request without flushing. */
     void write(HttpObject part) {
+        if (part instanceof HttpRequest) {
+            requests++;
+        }
         if (part instanceof LastHttpContent) {
             channel.write(part).addListener(done -> requestWritten = done.isSuccess());
         } else {
@@ -200,6 +215,7 @@
     }
 
     private void closeUnsolicited() {
+        pool.events().anomaly("unsolicited_bytes", "server", address, "requests", requests);
         releasePending = false;
         pool.discard(this);
         close();
@@ -275,6 +291,17 @@
             fail(CallFailure.TRUNCATED);
             return;
         }
+        if (decoder.undecodedBytes() > 0) {
+            pool.events()
+                    .anomaly(
+                            "bytes_after_answer",
+                            "server",
+                            address,
+                            "requests",
+                            requests,
+                            "bytes",
+                            decoder.undecodedBytes());
+        }
         CallListener ended = listener;
         listener = null;
         cancelDrainTimer();
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -21,10 +20,6 @@
  * reused first, so that surplus ones reach their idle timeout. Runs on one event loop.
  */
 public final class ConnectionPool {
-    private static final int MAX_LINE_BYTES = 16 << 10;
-    private static final int MAX_HEADER_BYTES = 64 << 10;
-    private static final int MAX_CHUNK_BYTES = 64 << 10;
-
     /** Fraction of a server's announced idle timeout after which a connection is not reused. */
     private static final double USABLE_IDLE_FRACTION = 0.6;
 
@@ -162,9 +157,7 @@
             channel.pipeline()
                     .addLast(connection.idleGuard())
                     .addLast(new HttpRequestEncoder())
-                    .addLast(
-                            new HttpResponseDecoder(
-                                    MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(connection.decoder())
                     .addLast(connection);
         }
     }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -222,7 +222,15 @@
         String expected = request.headers().get(service.names().requestId());
         String echoed = response.headers().get(service.names().requestId());
         if (echoed != null && !echoed.equals(expected)) {
-            service.events().anomaly("foreign_answer", "id", expected, "echoed", echoed);
+            service.events()
+                    .anomaly(
+                            "foreign_answer",
+                            "id",
+                            expected,
+                            "echoed",
+                            echoed,
+                            "status",
+                            response.status().code());
             return false;
         }
         if (echoed == null) {
@@ -433,6 +441,8 @@
             status,
             "run_ms",
             TimeUnit.NANOSECONDS.toMillis(runNanos),
+            "conn_requests",
+            targetConnection == null ? 0 : targetConnection.requests(),
             "running",
             service.gate().runningCount(),
             "waiting",
