Do not read an answer from the rest of an earlier one

Callers got a success where the target had answered 500, 404 or 504, were told 503 for requests that had run, or their requests ran at two targets, if a target sent the beginning of an answer a second time.

Cause: the decoder keeps a begun head in its buffer and reports nothing, so that the connection went back to its pool with bytes inside. The next answer was decoded as the continuation of the begun head: the status line of the copy with the id, signature and body of the next answer. The same happened if the begun copy arrived after the next request was sent. With two ids in the head the first one counted, the answer was skipped as foreign, and the run ended only at its deadline.

Why it works: a connection is used again only if nothing is left behind the last answer, in the decoder or in the read, and the socket holds nothing at the moment at which the request is written, which now happens in the same step. A foreign answer is skipped only if the connection carried its id, and for 250 ms at most, so that the slot of a run whose answer is lost is free at once. A success before the whole request is written is no answer. A request of which nothing was written has not run, and is reported so.

Same cause on related paths: all client connections of the node share this code (nodes, store, control calls).

--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -98,9 +99,15 @@
                 new SplittableRandom(incarnation ^ (long) settings.node().hashCode() << 32);
         this.metrics = new SidecarMetrics(log);
         this.nodeConnections =
-                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS, metrics);
+                new ConnectionPool(
+                        loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS, List.of(), metrics);
         this.targetConnections =
-                new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, TARGET_IDLE_MILLIS, metrics);
+                new ConnectionPool(
+                        loop,
+                        CONNECT_TIMEOUT_MILLIS,
+                        TARGET_IDLE_MILLIS,
+                        protocol.names().ofOneTargetAnswer(),
+                        metrics);
         ControlClient client = new ControlClient(loop, nodeConnections, metrics);
         Directory directory = new Directory();
         SuspectRequests suspects = new SuspectRequests();
--- a/src/main/java/org/azureshed/traffic/CallListener.java
+++ b/src/main/java/org/azureshed/traffic/CallListener.java
@@ -5,8 +5,11 @@
 
 /** Receives the events of one outgoing HTTP call. All methods run on the event loop. */
 interface CallListener {
-    /** The connection is ready; the request can be written. */
-    void connected();
+    /**
+     * The connection is ready and nothing was received on it; the request must be written at once.
+     * Invoked before {@link ConnectionPool#acquire} returns if the connection is a pooled one.
+     */
+    void connected(ClientConnection connection);
 
     /** An interim (1xx) response arrived. */
     default void informational(int status) {}
--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -1,7 +1,6 @@
 package org.azureshed.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -15,12 +14,15 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.model.Endpoint;
 
 /**
  * One client connection, which carries one call at a time. It returns to the pool only when the
- * request was written and the response received completely, and no other bytes arrived.
+ * request was written and the response received completely, and nothing is left behind it: neither
+ * in the decoder nor in the rest of the read. What arrives until the next request is written ends
+ * the connection.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Interim responses to one request; a host side sends at most two. */
@@ -32,14 +34,14 @@
     /** Bytes of a response that nobody needs which are read to keep the connection. */
     private static final long MAX_DRAINED_BYTES = 16 << 10;
 
-    /** Longest time for which such a response is read. */
-    private static final long MAX_DRAIN_MILLIS = 250;
+    /** Longest time for which a skipped response, or one that nobody needs, is read. */
+    private static final long MAX_DISCARD_MILLIS = 250;
 
     /** Receives the rest of a response after its call has ended. */
     private static final CallListener DRAIN =
             new CallListener() {
                 @Override
-                public void connected() {}
+                public void connected(ClientConnection connection) {}
 
                 @Override
                 public boolean head(HttpResponse response) {
@@ -59,7 +61,8 @@
     private final ConnectionPool pool;
     private final Endpoint address;
     private final ResponseDecoder decoder = new ResponseDecoder();
-    private Channel channel;
+    private final RecentIds carried = new RecentIds();
+    private PeekableSocketChannel channel;
     private CallListener listener;
     private HttpResponse head;
 
@@ -76,7 +79,7 @@
     private int interimResponses;
     private long skippedBytes;
     private long drainedBytes;
-    private ScheduledFuture<?> drainTimer;
+    private ScheduledFuture<?> discardTimer;
     private long idleSinceNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
@@ -99,6 +102,29 @@
         return requests;
     }
 
+    /** Whether the current request was written to its end. */
+    boolean requestWritten() {
+        return requestWritten;
+    }
+
+    /** Notes the identifier of the next request. */
+    void carry(String requestId) {
+        carried.add(requestId);
+    }
+
+    /** Whether a recent request had this identifier. */
+    boolean hasCarried(String requestId) {
+        return carried.contains(requestId);
+    }
+
+    /**
+     * Whether the server has sent nothing since the last response, and has not closed. Otherwise
+     * the connection must be closed.
+     */
+    boolean silent() {
+        return open() && channel.received() == PeekableSocketChannel.Received.NOTHING;
+    }
+
     long idleSinceNanos() {
         return idleSinceNanos;
     }
@@ -123,17 +149,18 @@
         requestWritten = false;
         interimResponses = 0;
         skippedBytes = 0;
-        next.connected();
+        next.connected(this);
     }
 
-    void attach(Channel connected) {
+    void attach(PeekableSocketChannel connected) {
         channel = connected;
     }
 
     /** Writes a part of the request without flushing. */
     void write(HttpObject part) {
-        if (part instanceof HttpRequest) {
+        if (part instanceof HttpRequest request) {
             requests++;
+            decoder.requestMethod(request.method());
         }
         if (part instanceof LastHttpContent) {
             channel.write(part).addListener(done -> requestWritten = done.isSuccess());
@@ -169,13 +196,19 @@
         }
         listener = DRAIN;
         drainedBytes = 0;
-        drainTimer =
-                channel.eventLoop().schedule(this::cancel, MAX_DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+        limitDiscarding(this::cancel);
+    }
+
+    private void limitDiscarding(Runnable task) {
+        cancelDiscardTimer();
+        discardTimer =
+                channel.eventLoop().schedule(task, MAX_DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Aborts the call and closes the connection; the listener gets no further event. */
     void cancel() {
         listener = null;
+        cancelDiscardTimer();
         close();
     }
 
@@ -187,12 +220,14 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        channel = context.channel();
         if (listener == null) {
             close();
-            return;
+        } else if (channel.received() == PeekableSocketChannel.Received.BYTES) {
+            // They cannot be the response to a request that is not written yet.
+            fail(CallFailure.MALFORMED);
+        } else {
+            listener.connected(this);
         }
-        listener.connected();
     }
 
     /**
@@ -204,7 +239,7 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
-                if (listener == null && channel == context.channel()) {
+                if (listener == null) {
                     ReferenceCountUtil.release(message);
                     closeUnsolicited();
                 } else {
@@ -215,7 +250,9 @@
     }
 
     private void closeUnsolicited() {
-        pool.events().anomaly("unsolicited_bytes", "server", address, "requests", requests);
+        if (open()) {
+            reportAnomaly("unsolicited_bytes", "");
+        }
         releasePending = false;
         pool.discard(this);
         close();
@@ -237,10 +274,17 @@
 
     private void read(Object message) {
         if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+            reportAnomaly("malformed_response", object.decoderResult().cause().toString());
             fail(CallFailure.MALFORMED);
             return;
         }
         if (message instanceof HttpResponse response) {
+            Optional<String> fault = ResponseHeads.fault(response, pool.singleHeaders());
+            if (fault.isPresent()) {
+                reportAnomaly("spliced_head", fault.get());
+                fail(CallFailure.MALFORMED);
+                return;
+            }
             onHead(response);
         }
         if (message instanceof HttpContent content && head != null) {
@@ -278,6 +322,10 @@
         head = response;
         keepAliveNanos = KeepAlive.nanos(response);
         skippingResponse = !listener.head(response);
+        if (skippingResponse) {
+            // A copy arrives as a whole. If it does not, it swallows the response behind it.
+            limitDiscarding(() -> fail(CallFailure.MALFORMED));
+        }
         reusable &= !skippingResponse && HttpUtil.isKeepAlive(response);
     }
 
@@ -285,6 +333,7 @@
         if (skippingResponse) {
             skippingResponse = false;
             head = null;
+            cancelDiscardTimer();
             return;
         }
         if (connectionReset) {
@@ -292,19 +341,13 @@
             return;
         }
         if (decoder.undecodedBytes() > 0) {
-            pool.events()
-                    .anomaly(
-                            "bytes_after_answer",
-                            "server",
-                            address,
-                            "requests",
-                            requests,
-                            "bytes",
-                            decoder.undecodedBytes());
+            // They would be decoded as the beginning of the next response.
+            reportAnomaly("bytes_after_answer", decoder.undecodedBytes() + " bytes");
+            reusable = false;
         }
         CallListener ended = listener;
         listener = null;
-        cancelDrainTimer();
+        cancelDiscardTimer();
         // The receiver of this response may have paused reading; the next call must not inherit it.
         setAutoRead(true);
         if (reusable && requestWritten && open()) {
@@ -316,13 +359,17 @@
         ended.end();
     }
 
-    private void cancelDrainTimer() {
-        if (drainTimer != null) {
-            drainTimer.cancel(false);
-            drainTimer = null;
+    private void cancelDiscardTimer() {
+        if (discardTimer != null) {
+            discardTimer.cancel(false);
+            discardTimer = null;
         }
     }
 
+    private void reportAnomaly(String event, String cause) {
+        pool.events().anomaly(event, "server", address, "requests", requests, "cause", cause);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (releasePending) {
@@ -343,7 +390,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelDrainTimer();
+        cancelDiscardTimer();
         pool.discard(this);
         if (listener != null) {
             fail(head == null ? CallFailure.CLOSED : CallFailure.TRUNCATED);
@@ -353,6 +400,7 @@
     void fail(CallFailure failure) {
         CallListener failed = listener;
         listener = null;
+        cancelDiscardTimer();
         close();
         if (failed != null) {
             failed.failed(failure);
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.model.Endpoint;
@@ -23,10 +23,13 @@
     /** Fraction of a server's announced idle timeout after which a connection is not reused. */
     private static final double USABLE_IDLE_FRACTION = 0.6;
 
+    private static final Deque<ClientConnection> NONE = new ArrayDeque<>(0);
+
     private final EventLoop loop;
     private final TrafficEvents events;
     private final Bootstrap bootstrap;
     private final long maxIdleNanos;
+    private final List<String> singleHeaders;
     private final Map<Endpoint, Deque<ClientConnection>> idle = new HashMap<>();
 
     /**
@@ -35,18 +38,25 @@
      * @param loop event loop of all connections
      * @param connectTimeoutMillis timeout of establishing a connection
      * @param maxIdleMillis time after which an idle connection is not reused
-     * @param events receives exceptions of the connections' listeners
+     * @param singleHeaders headers of which a response has at most one; a response with more was
+     *     put together from several
+     * @param events receives malformed responses and exceptions of the connections' listeners
      */
     public ConnectionPool(
-            EventLoop loop, int connectTimeoutMillis, long maxIdleMillis, TrafficEvents events) {
+            EventLoop loop,
+            int connectTimeoutMillis,
+            long maxIdleMillis,
+            List<String> singleHeaders,
+            TrafficEvents events) {
         this.loop = loop;
         this.events = events;
+        this.singleHeaders = List.copyOf(singleHeaders);
         this.maxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
         this.bootstrap =
                 SocketOptions.client(
                         new Bootstrap()
                                 .group(loop)
-                                .channel(NioSocketChannel.class)
+                                .channelFactory(PeekableSocketChannel::new)
                                 .option(
                                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                         connectTimeoutMillis));
@@ -61,16 +71,36 @@
      * @return the connection that carries the call; it may not be established yet
      */
     ClientConnection acquire(Endpoint address, long maxIdleForCallNanos, CallListener listener) {
+        return acquire(address, maxIdleForCallNanos, "", listener);
+    }
+
+    /**
+     * Starts a call on a pooled or a new connection, which remembers the identifier of the request.
+     *
+     * @param address endpoint of the server, with an IP address
+     * @param maxIdleForCallNanos longest time that a pooled connection may have been idle
+     * @param requestId identifier of the request; empty if responses have none
+     * @param listener receives the events of the call
+     * @return the connection that carries the call; it may not be established yet
+     */
+    ClientConnection acquire(
+            Endpoint address, long maxIdleForCallNanos, String requestId, CallListener listener) {
         ClientConnection pooled = takeIdle(address, maxIdleForCallNanos);
         if (pooled != null) {
+            pooled.carry(requestId);
             pooled.start(listener);
             return pooled;
         }
         ClientConnection connection = new ClientConnection(this, address, listener);
+        connection.carry(requestId);
         connect(connection, address);
         return connection;
     }
 
+    List<String> singleHeaders() {
+        return singleHeaders;
+    }
+
     TrafficEvents events() {
         return events;
     }
@@ -93,8 +123,8 @@
     /** Closes connections that exceeded the idle time of the pool or of their server. */
     public void closeIdle() {
         long now = System.nanoTime();
-        for (Deque<ClientConnection> connections : java.util.List.copyOf(idle.values())) {
-            for (ClientConnection connection : java.util.List.copyOf(connections)) {
+        for (Deque<ClientConnection> connections : List.copyOf(idle.values())) {
+            for (ClientConnection connection : List.copyOf(connections)) {
                 if (!usable(connection, maxIdleNanos, now)) {
                     discard(connection);
                     connection.close();
@@ -104,21 +134,22 @@
     }
 
     private ClientConnection takeIdle(Endpoint address, long maxIdleForCallNanos) {
-        Deque<ClientConnection> connections = idle.get(address);
         long now = System.nanoTime();
-        while (connections != null && !connections.isEmpty()) {
-            ClientConnection connection = connections.peekFirst();
-            if (connection.open()
-                    && usable(connection, Math.min(maxIdleForCallNanos, maxIdleNanos), now)) {
+        for (ClientConnection connection : List.copyOf(idle.getOrDefault(address, NONE))) {
+            if (!usable(connection, maxIdleNanos, now) || !connection.open()) {
                 discard(connection);
-                return connection;
+                connection.close();
+                continue;
             }
-            if (connection.open() && usable(connection, maxIdleNanos, now)) {
+            if (!usable(connection, Math.min(maxIdleForCallNanos, maxIdleNanos), now)) {
                 // Idle for too long for this call only; the others in the queue were idle for
                 // longer.
                 return null;
             }
             discard(connection);
+            if (connection.silent()) {
+                return connection;
+            }
             connection.close();
         }
         return null;
@@ -136,7 +167,7 @@
                         .clone()
                         .handler(new Initializer(connection))
                         .connect(SocketOptions.address(address));
-        connection.attach(connecting.channel());
+        connection.attach((PeekableSocketChannel) connecting.channel());
         connecting.addListener(
                 done -> {
                     if (!done.isSuccess()) {
--- a/src/main/java/org/azureshed/traffic/ControlClient.java
+++ b/src/main/java/org/azureshed/traffic/ControlClient.java
@@ -107,15 +107,8 @@
         }
 
         @Override
-        public void connected() {
-            // A pooled connection invokes this method before the connection field is set.
-            loop.execute(this::write);
-        }
-
-        private void write() {
-            if (ended) {
-                return;
-            }
+        public void connected(ClientConnection connected) {
+            connection = connected;
             DefaultHttpRequest request =
                     new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path);
             request.headers().set(HttpHeaderNames.HOST, address.toString());
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -107,15 +107,8 @@
     }
 
     @Override
-    public void connected() {
-        // A pooled connection invokes this method before acquire() returns and the field is set.
-        exchange.service().loop().execute(this::sendHead);
-    }
-
-    private void sendHead() {
-        if (ended) {
-            return;
-        }
+    public void connected(ClientConnection connected) {
+        connection = connected;
         HttpRequest request = exchange.request();
         DefaultHttpRequest head =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
--- a/src/main/java/org/azureshed/traffic/HeaderNames.java
+++ b/src/main/java/org/azureshed/traffic/HeaderNames.java
@@ -1,5 +1,7 @@
 package org.azureshed.traffic;
 
+import java.util.List;
+
 /**
  * Names of the headers that callers and targets use.
  *
@@ -16,4 +18,13 @@
         String signature,
         String expectedInstance,
         String notExecuted,
-        String callerService) {}
+        String callerService) {
+    /**
+     * Lists the headers that one answer of a target has at most once.
+     *
+     * @return header names
+     */
+    public List<String> ofOneTargetAnswer() {
+        return List.of(requestId, signature, notExecuted);
+    }
+}
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -71,6 +71,9 @@
     /** Whether a slot is reserved. */
     private boolean admitted;
 
+    /** Whether the request was written to the connection to the target, at least in part. */
+    private boolean sent;
+
     private boolean responseStarted;
     private boolean done;
     private long runStartNanos;
@@ -181,23 +184,21 @@
         targetConnection =
                 service.callTarget(
                         offer.repeatable() ? Long.MAX_VALUE : MAX_IDLE_FOR_NON_REPEATABLE_NANOS,
+                        requestId(),
                         this);
     }
 
+    private String requestId() {
+        return request.headers().get(service.names().requestId(), "");
+    }
+
     private long millisLeft() {
         return TimeUnit.NANOSECONDS.toMillis(offered.deadlineNanos() - System.nanoTime());
     }
 
     @Override
-    public void connected() {
-        // A pooled connection invokes this method before callTarget() returns and the field is set.
-        service.loop().execute(() -> send(targetConnection));
-    }
-
-    private void send(ClientConnection connection) {
-        if (done) {
-            return;
-        }
+    public void connected(ClientConnection connection) {
+        targetConnection = connection;
         long left = millisLeft();
         if (left <= 0) {
             connection.cancel();
@@ -212,6 +213,7 @@
         if (offer.hasBody()) {
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
+        sent = true;
         connection.write(forwarded);
         connection.write(new DefaultLastHttpContent(body.retainedSlice()));
         connection.flush();
@@ -219,7 +221,7 @@
 
     @Override
     public boolean head(HttpResponse response) {
-        String expected = request.headers().get(service.names().requestId());
+        String expected = requestId();
         String echoed = response.headers().get(service.names().requestId());
         if (echoed != null && !echoed.equals(expected)) {
             service.events()
@@ -231,7 +233,13 @@
                             echoed,
                             "status",
                             response.status().code());
-            return false;
+            if (targetConnection.hasCarried(echoed)) {
+                return false;
+            }
+            // No late copy, so that the answer to this request may never come.
+            targetConnection.cancel();
+            fail("foreign answer");
+            return true;
         }
         if (echoed == null) {
             // A copy of this response could not be told from the response to a later request.
@@ -257,14 +265,15 @@
 
     /**
      * Whether the response is a genuine answer of the target. A success must have the target's
-     * signature, the request's id and no content encoding. A 408, 429 or 503 is not an answer,
-     * because it leaves open whether the request ran. Responses that state that it did not run are
-     * handled before.
+     * signature, the request's id and no content encoding, and follow the whole request. A 408, 429
+     * or 503 is not an answer, because it leaves open whether the request ran. Responses that state
+     * that it did not run are handled before.
      */
     private boolean isGenuine(HttpResponse response, String echoed) {
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success) {
             return echoed != null
+                    && targetConnection.requestWritten()
                     && response.headers().contains(service.names().signature())
                     && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
         }
@@ -317,10 +326,12 @@
         if (done) {
             return;
         }
-        if (failure == CallFailure.NOT_CONNECTED) {
+        if (!sent) {
             respond(OutcomeHeaders.NOT_RUN, RefusalReason.TARGET_UNREACHABLE.label());
             finish("target-unreachable", RunResult.FAILURE);
-            service.targetCrashed();
+            if (failure == CallFailure.NOT_CONNECTED) {
+                service.targetCrashed();
+            }
         } else {
             if (failure == CallFailure.CLOSED) {
                 service.connectionBroke(fingerprint());
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -191,8 +191,8 @@
         bodyBytes -= bytes;
     }
 
-    ClientConnection callTarget(long maxIdleNanos, CallListener listener) {
-        return targetConnections.acquire(targetAddress, maxIdleNanos, listener);
+    ClientConnection callTarget(long maxIdleNanos, String requestId, CallListener listener) {
+        return targetConnections.acquire(targetAddress, maxIdleNanos, requestId, listener);
     }
 
     void connectionBroke(RequestFingerprint request) {
--- /dev/null
+++ b/src/main/java/org/azureshed/traffic/ResponseHeads.java
@@ -0,0 +1,49 @@
+package org.azureshed.traffic;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Checks that a response head was sent as one. If a server stops in the middle of a head and goes
+ * on with another one, both decode as a single head: the status line of the first with headers of
+ * the second.
+ */
+final class ResponseHeads {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(\\s|$)");
+    private static final String PROTOCOL = "HTTP";
+
+    private ResponseHeads() {}
+
+    /**
+     * Returns why the head cannot be a single one.
+     *
+     * @param response decoded head
+     * @param single headers that a server sends at most once
+     * @return the reason, or empty if the head is sound
+     */
+    static Optional<String> fault(HttpResponse response, List<String> single) {
+        if (!response.protocolVersion().protocolName().equals(PROTOCOL)) {
+            return Optional.of("protocol " + response.protocolVersion());
+        }
+        if (holdsStatusLine(response.status().reasonPhrase())) {
+            return Optional.of("status line in the reason phrase");
+        }
+        for (Map.Entry<String, String> header : response.headers()) {
+            if (holdsStatusLine(header.getValue()) || holdsStatusLine(header.getKey())) {
+                return Optional.of("status line in header " + header.getKey());
+            }
+        }
+        return single.stream()
+                .filter(name -> response.headers().getAll(name).size() > 1)
+                .map(name -> "more than one header " + name)
+                .findFirst();
+    }
+
+    private static boolean holdsStatusLine(String text) {
+        // The first character of a status line rules out most values without a search.
+        return text.indexOf("HTTP/") >= 0 && STATUS_LINE.matcher(text).find();
+    }
+}
--- a/src/test/java/org/azureshed/traffic/EndlessControlResponseTest.java
+++ b/src/test/java/org/azureshed/traffic/EndlessControlResponseTest.java
@@ -47,7 +47,8 @@
                     Thread.startVirtualThread(() -> sendEndlessly(server, prefix, repeated, sent));
             EventLoop loop = group.next();
             ControlClient client =
-                    new ControlClient(loop, new ConnectionPool(loop, 300, 1_000, events), events);
+                    new ControlClient(
+                            loop, new ConnectionPool(loop, 300, 1_000, List.of(), events), events);
             CompletableFuture<ControlClient.Result> result = new CompletableFuture<>();
             loop.execute(
                     () ->
--- a/src/test/java/org/azureshed/traffic/PausedConnectionTest.java
+++ b/src/test/java/org/azureshed/traffic/PausedConnectionTest.java
@@ -15,6 +15,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.model.Endpoint;
@@ -35,7 +36,8 @@
                         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())) {
             Thread.startVirtualThread(() -> serve(server));
             EventLoop loop = group.next();
-            ConnectionPool pool = new ConnectionPool(loop, 500, 30_000, new RecordingEvents());
+            ConnectionPool pool =
+                    new ConnectionPool(loop, 500, 30_000, List.of(), new RecordingEvents());
             Endpoint address = new Endpoint("127.0.0.1", server.getLocalPort());
             Call first = new Call(loop, pool, address, true);
             assertEquals("ok", first.ended.get(5, TimeUnit.SECONDS));
@@ -71,14 +73,10 @@
         }
 
         @Override
-        public void connected() {
-            loop.execute(
-                    () -> {
-                        connection.write(
-                                new DefaultFullHttpRequest(
-                                        HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
-                        connection.flush();
-                    });
+        public void connected(ClientConnection connected) {
+            connection = connected;
+            connection.write(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+            connection.flush();
         }
 
         @Override
