Do not send a request again on a connection that carried its id

Callers got the answer to an earlier run, or were told 503 for a request that had run, if the same id came a second time and the target wrote its first answer once more on that connection: the id identifies a copy only among different ids. Targets that repeat their calls when they run again may repeat the ids.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -256,25 +256,7 @@
             return true;
         }
         Behaviour chosen = behaviour.apply(request);
-        if (chosen instanceof Behaviour.Shed) {
-            write(
-                    out,
-                    "HTTP/1.1 503 Service Unavailable\r\nX-Azureshed-Not-Executed: 1\r\n"
-                            + "Content-Length: 0\r\n\r\n");
-            return true;
-        }
-        if (chosen instanceof Behaviour.AnswerAgain again
-                && !again.executed()
-                && !lateCopies.containsKey(socket)) {
-            String answer = firstAnswer(request, again);
-            lateCopies.put(socket, answer);
-            write(out, answer);
-            return true;
-        }
-        if (chosen instanceof Behaviour.PartialCopy partial
-                && !partial.runsFirst()
-                && !lateCopies.containsKey(socket)) {
-            sendWithPartialCopy(partial, request, socket, out);
+        if (refuses(chosen, request, socket, out)) {
             return true;
         }
         executions.add(request);
@@ -332,6 +314,30 @@
         return true;
     }
 
+    /** Refuses a request without running it if the behaviour says so; false if it is to run. */
+    private boolean refuses(Behaviour chosen, Request request, Socket socket, OutputStream out)
+            throws IOException, InterruptedException {
+        boolean first = !lateCopies.containsKey(socket);
+        switch (chosen) {
+            case Behaviour.Shed ignored ->
+                    write(
+                            out,
+                            "HTTP/1.1 503 Service Unavailable\r\nX-Azureshed-Not-Executed: 1\r\n"
+                                    + "Content-Length: 0\r\n\r\n");
+            case Behaviour.AnswerAgain again when first && !again.executed() -> {
+                String answer = firstAnswer(request, again);
+                lateCopies.put(socket, answer);
+                write(out, answer);
+            }
+            case Behaviour.PartialCopy partial when first && !partial.runsFirst() ->
+                    sendWithPartialCopy(partial, request, socket, out);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Answers a request and sends a begun copy of the answer, or keeps it for the next one. */
     private void sendWithPartialCopy(
             Behaviour.PartialCopy partial, Request request, Socket socket, OutputStream out)
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -75,7 +75,8 @@
     }
 
     /**
-     * Starts a call on a pooled or a new connection, which remembers the identifier of the request.
+     * Starts a call on a pooled or a new connection that has not carried the same request before: a
+     * second copy of the response to that one would have the identifier of this one.
      *
      * @param address endpoint of the server, with an IP address
      * @param maxIdleForCallNanos longest time that a pooled connection may have been idle
@@ -85,7 +86,7 @@
      */
     ClientConnection acquire(
             Endpoint address, long maxIdleForCallNanos, String requestId, CallListener listener) {
-        ClientConnection pooled = takeIdle(address, maxIdleForCallNanos);
+        ClientConnection pooled = takeIdle(address, maxIdleForCallNanos, requestId);
         if (pooled != null) {
             pooled.carry(requestId);
             pooled.start(listener);
@@ -133,7 +134,8 @@
         }
     }
 
-    private ClientConnection takeIdle(Endpoint address, long maxIdleForCallNanos) {
+    private ClientConnection takeIdle(
+            Endpoint address, long maxIdleForCallNanos, String requestId) {
         long now = System.nanoTime();
         for (ClientConnection connection : List.copyOf(idle.getOrDefault(address, NONE))) {
             if (!usable(connection, maxIdleNanos, now) || !connection.open()) {
@@ -146,6 +148,9 @@
                 // longer.
                 return null;
             }
+            if (!requestId.isEmpty() && connection.hasCarried(requestId)) {
+                continue;
+            }
             discard(connection);
             if (connection.silent()) {
                 return connection;
--- a/src/test/java/org/azureshed/platform/SplicedAnswerTest.java
+++ b/src/test/java/org/azureshed/platform/SplicedAnswerTest.java
@@ -88,6 +88,31 @@
         play(new Behaviour.PartialCopy(status, 200, "Content-Type: te", delayMicros));
     }
 
+    static Stream<Arguments> repeatedIds() {
+        return Stream.of(200, 503)
+                .flatMap(status -> Stream.of(0L, -1L).map(delay -> Arguments.of(status, delay)));
+    }
+
+    /**
+     * A request comes a second time with the same identifier, and its target sends the whole answer
+     * to the first one again. No caller gets that answer for the second run.
+     */
+    @ParameterizedTest(name = "status {0}, copy {1} us later")
+    @MethodSource("repeatedIds")
+    void copyOfTheAnswerToTheSameIdIsNotBelieved(int status, long delayMicros) throws Exception {
+        Behaviour copy = new Behaviour.PartialCopy(status, 500, "first", delayMicros);
+        try (SidecarFleet fleet = new SidecarFleet("shop")) {
+            fleet.targets.forEach(target -> target.behaviour(request -> copy));
+            for (int i = 0; i < 20; i++) {
+                // Each identifier comes twice.
+                String id = "id-" + i / 2;
+                int received = fleet.request(0, "POST", "/write/a", id).statusCode();
+                List<Integer> answered = fleet.targets.getFirst().statuses(id);
+                assertEquals(answered.getLast(), received, () -> answered + fleet.log());
+            }
+        }
+    }
+
     private static void play(Behaviour behaviour) throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop", "shop");
                 ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
