Do not believe a host side's answer to another request

A caller would get the answer to a request of someone else if a host side mixed up its responses: the entry side took any complete response of a host side without comparing identifiers, even one that came before the body was sent, when the request cannot have run.

Why it works: an answer with another identifier, a success without one, or an answer before the whole request is written ends the connection and counts as lost: as unknown after the body was sent, otherwise as a failed path, since a host side without the body runs nothing. It costs no header between nodes. Responses of the host side itself (not run, shed, unknown) have no identifier; for those the position on the connection has to do.

--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -166,6 +167,11 @@
         exchange.service().paths().responded(node.name());
         response = head;
         outcome = head.headers().get(OutcomeHeaders.OUTCOME, "");
+        if (outcome.equals(OutcomeHeaders.COMPLETED) && !ownAnswer(head)) {
+            connection.cancel();
+            failed(CallFailure.MALFORMED);
+            return true;
+        }
         if (!admitted) {
             // Completes the refused request without its body, so that the connection can be reused.
             connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -174,6 +180,36 @@
         return true;
     }
 
+    /**
+     * Whether an answer can belong to this request: the host side sends it after the whole body,
+     * and a success always has the request's identifier.
+     */
+    private boolean ownAnswer(HttpResponse head) {
+        HeaderNames names = exchange.service().names();
+        String id = exchange.request().headers().get(names.requestId(), "");
+        String echoed = head.headers().get(names.requestId());
+        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        String anomaly =
+                !connection.requestWritten()
+                        ? "early_answer"
+                        : (echoed == null ? success : !echoed.equals(id)) ? "foreign_answer" : "";
+        if (!anomaly.isEmpty()) {
+            exchange.service()
+                    .events()
+                    .anomaly(
+                            anomaly,
+                            "id",
+                            id,
+                            "echoed",
+                            echoed,
+                            "status",
+                            head.status().code(),
+                            "host",
+                            node.name());
+        }
+        return anomaly.isEmpty();
+    }
+
     @Override
     public void content(ByteBuf data) {
         if (ended || !outcome.equals(OutcomeHeaders.COMPLETED)) {
