Show that no cut answer is delivered as whole

Left out, as nothing tells them from a whole answer: bodies without a length that end early with a regular close.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -134,6 +134,14 @@
             }
         }
 
+        /**
+         * Runs the request, sends the beginning of an answer and ends the connection.
+         *
+         * @param text sent as it is, ASCII; {@code ID} is replaced by the request identifier
+         * @param reset whether the connection is reset instead of closed
+         */
+        record Cut(String text, boolean reset) implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -287,6 +295,13 @@
                 socket.setOption(StandardSocketOptions.SO_LINGER, 0);
                 return false;
             }
+            case Behaviour.Cut cut -> {
+                write(out, cut.text().replace("ID", request.requestId()));
+                if (cut.reset()) {
+                    socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+                }
+                return false;
+            }
             case Behaviour.Truncated ignored -> {
                 String answer = completeResponse(request, 200, "half of an answer");
                 write(out, answer.substring(0, answer.length() - 5));
