Refuse a request that was put together from two

If a caller stopped in the middle of a request and went on with another one, a target ran a request that nobody sent: the method or a header of the first with the rest of the second. Or the caller was told 404 or 503 for it. The decoder completes a begun head with whatever follows; a request with both kinds of framing passed as chunked.

Why it works: a head that holds a request line in a value, a usual method behind other letters, two hosts, two identifiers, or both kinds of framing can't be one head. Callers get 400 once and the connection ends; an offer ends its connection. Values such as `Via: HTTP/1.1 gw` and methods such as PROPPATCH pass. Control requests are checked for framing only.

--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.dispatch.ExchangeEvent;
 import org.azureshed.dispatch.TrafficConfiguration;
@@ -132,6 +133,12 @@
     }
 
     private void onHead(HttpRequest request) {
+        Optional<String> fault = RequestHeads.fault(request, service.names().ofOneRequest());
+        if (fault.isPresent()) {
+            service.events().anomaly("spliced_request", "cause", fault.get());
+            refuseWhileReading(RefusalReason.BAD_FRAMING);
+            return;
+        }
         head = request;
         headTimerRunning = false;
         headNanos = System.nanoTime();
--- a/src/main/java/org/azureshed/traffic/HeaderNames.java
+++ b/src/main/java/org/azureshed/traffic/HeaderNames.java
@@ -27,4 +27,13 @@
     public List<String> ofOneTargetAnswer() {
         return List.of(requestId, signature, notExecuted);
     }
+
+    /**
+     * Lists the headers that one request has at most once.
+     *
+     * @return header names
+     */
+    public List<String> ofOneRequest() {
+        return List.of("Host", requestId);
+    }
 }
--- a/src/main/java/org/azureshed/traffic/HostHandler.java
+++ b/src/main/java/org/azureshed/traffic/HostHandler.java
@@ -1,5 +1,6 @@
 package org.azureshed.traffic;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -8,14 +9,22 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
 
 /** One connection from an entry side, which offers one request at a time. */
 final class HostHandler extends ChannelInboundHandlerAdapter {
     private final HostService service;
+    private final List<String> singleHeaders;
     private HostExchange exchange;
 
     HostHandler(HostService service) {
         this.service = service;
+        this.singleHeaders =
+                ImmutableList.<String>builder()
+                        .addAll(service.names().ofOneRequest())
+                        .add(OfferHeader.NAME)
+                        .build();
     }
 
     @Override
@@ -42,6 +51,12 @@
             context.close();
             return;
         }
+        Optional<String> fault = RequestHeads.fault(request, singleHeaders);
+        if (fault.isPresent()) {
+            service.events().anomaly("spliced_offer", "cause", fault.get());
+            context.close();
+            return;
+        }
         try {
             String header = request.headers().get(OfferHeader.NAME, "");
             exchange = new HostExchange(service, context, request, OfferHeader.decode(header));
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -7,17 +7,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.function.Supplier;
 import org.azureshed.model.Endpoint;
 
 /** Opens the listeners of a node. */
 public final class TrafficServers {
-    private static final int MAX_LINE_BYTES = 16 << 10;
-    private static final int MAX_HEADER_BYTES = 32 << 10;
-    private static final int MAX_CHUNK_BYTES = 64 << 10;
-
     private TrafficServers() {}
 
     /**
@@ -80,9 +75,7 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
-                    .addLast(
-                            new HttpRequestDecoder(
-                                    MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(new RequestDecoder())
                     .addLast(new HttpResponseEncoder())
                     .addLast(handler.get());
         }
--- a/src/test/java/org/azureshed/platform/CutAnswerTest.java
+++ b/src/test/java/org/azureshed/platform/CutAnswerTest.java
@@ -53,6 +53,7 @@
         List<String> faults = new ArrayList<>();
         try (SidecarFleet fleet = new SidecarFleet("shop")) {
             for (int cut = 0; cut < cuts; cut++) {
+                fleet.heartbeat(0, "shop", "ready", 1);
                 Behaviour behaviour = new Behaviour.Cut(answer.substring(0, cut), reset);
                 fleet.targets.getFirst().behaviour(request -> behaviour);
                 String received = received(fleet, "id-" + cut + '-');
