Play the byte streams of a target's connections

The tests of mixed answers drove whole nodes with a few chosen cuts. A test for each rule on the streams beside it.

--- /dev/null
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -0,0 +1,259 @@
+package org.azureshed.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.azureshed.traffic.ResponseStreamBench.Result;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Checks single rules on what a target may send, one byte stream each. */
+class ResponseStreamTest {
+    /** Far less than the time that a request has. */
+    private static final long MAX_MILLIS = 2_500;
+
+    /** Time for the event loop to read what has arrived. */
+    private static final long READ_MILLIS = 30;
+
+    private static final String HEADERS =
+            "X-Azureshed-Request-Id: ID\r\n"
+                    + "X-Azureshed-Response-Signature: s\r\n"
+                    + "X-Run: RUN\r\nContent-Length: 3\r\n\r\nRUN";
+
+    private static final String ANSWER = "HTTP/1.1 200 Status\r\n" + HEADERS;
+    private final Set<String> ran = ConcurrentHashMap.newKeySet();
+    private ResponseStreamBench bench;
+
+    @BeforeEach
+    void start() throws IOException {
+        bench = new ResponseStreamBench();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        bench.close();
+    }
+
+    private static String fill(String template, String run, String id) {
+        return template.replace("ID", id).replace("RUN", run);
+    }
+
+    private Result call(String run, String id) throws Exception {
+        return bench.offer(run, id, HttpMethod.GET).get(10, TimeUnit.SECONDS);
+    }
+
+    private static void assertOwn(String run, Result result) {
+        assertEquals(OutcomeHeaders.COMPLETED, result.outcome(), result::toString);
+        assertEquals(run, result.body(), result::toString);
+    }
+
+    /**
+     * A head was put together from two answers, or could have been. Neither its status nor its
+     * refusal is believed.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HHTTP/1.1 STATUS Status\r\nMARK",
+                "HTTPHTTP/1.1 STATUS Status\r\nMARK",
+                "HTTP/1.1 STATUS HTTP/1.1 500 Status\r\nMARK",
+                "HTTP/1.1 STATUS StatHTTP/1.1 500 Status\r\nMARK",
+                "HTTP/1.1 STATUS Status\r\nMARKContent-Type: teHTTP/1.1 500 Status\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKContent-Type: HTTP/1.1 500\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKContent-TyHTTP/1.1 500 Status: x\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKHTTP/1.1 500 Status: x\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKHTTP/1.1 500 Status\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Request-Id: ID\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Request-Id: other\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Response-Signature: s\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Not-Executed: 1\r\n"
+                        + "X-Azureshed-Not-Executed: 1\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKContent-Length: 4\r\n"
+            })
+    void headOfTwoAnswersIsNotBelieved(String template) throws Exception {
+        for (String status : new String[] {"200", "503"}) {
+            String mark = status.equals("503") ? "X-Azureshed-Not-Executed: 1\r\n" : "";
+            String head = template.replace("STATUS", status).replace("MARK", mark);
+            bench.begin(
+                    (connection, run, id) -> {
+                        connection.write(fill(head + HEADERS, run, id));
+                        return true;
+                    });
+            Result result = call("r-1", "id-1");
+            assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+            assertTrue(result.millis() < MAX_MILLIS, result::toString);
+        }
+    }
+
+    /**
+     * Bytes came with an answer or soon after it. The next request does not go to their connection,
+     * where they would be the beginning of its answer.
+     */
+    @ParameterizedTest(name = "{0} behind the answer, in the same write: {1}")
+    @CsvSource({
+        "HTTP/1.1 20, true",
+        "HTTP/1.1 20, false",
+        "'HTTP/1.1 200 Status\r\n', true",
+        "'HTTP/1.1 200 Status\r\n', false",
+        "'HTTP/1.1 103 Early Hints\r\n\r\n', true",
+        "'HTTP/1.1 103 Early Hints\r\n\r\n', false",
+        "'\r\n', true",
+        "'\r\n', false"
+    })
+    void connectionWithUnreadBytesIsNotUsedAgain(String bytes, boolean together) throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        bench.begin(
+                (connection, run, id) -> {
+                    if (!run.equals("r-1")) {
+                        connection.write(fill(ANSWER, run, id));
+                        return true;
+                    }
+                    connection.write(fill(ANSWER, run, id) + (together ? bytes : ""));
+                    connection.write(together ? "" : bytes);
+                    written.countDown();
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        assertTrue(written.await(5, TimeUnit.SECONDS));
+        TimeUnit.MILLISECONDS.sleep(READ_MILLIS);
+        assertOwn("r-2", call("r-2", "id-2"));
+        assertEquals(2, bench.connections());
+    }
+
+    /**
+     * Bytes arrived while the event loop was busy, and it starts the next request before it reads
+     * them. They are not taken for the beginning of that one's answer.
+     */
+    @Test
+    void connectionWithBytesThatTheLoopHasNotReadIsNotUsedAgain() throws Exception {
+        CountDownLatch loopIsBusy = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        bench.begin(
+                (connection, run, id) -> {
+                    connection.write(fill(ANSWER, run, id));
+                    if (run.equals("r-1")) {
+                        loopIsBusy.await();
+                        connection.write("HTTP/1.1 200 Status\r\nContent-Type: te");
+                        written.countDown();
+                    }
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        CompletableFuture<Result> next =
+                bench.loop()
+                        .submit(
+                                () -> {
+                                    loopIsBusy.countDown();
+                                    assertTrue(written.await(5, TimeUnit.SECONDS));
+                                    return bench.offerNow("r-2", "id-2", HttpMethod.GET);
+                                })
+                        .get(10, TimeUnit.SECONDS);
+        assertOwn("r-2", next.get(10, TimeUnit.SECONDS));
+        assertEquals(2, bench.connections());
+    }
+
+    /** An answer was sent before its request. It is not believed, and the request is not sent. */
+    @RepeatedTest(5)
+    void answerBeforeTheFirstRequestIsNotBelieved() throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        bench.begin(
+                (connection, run, id) -> {
+                    ran.add(run);
+                    return true;
+                },
+                connection -> {
+                    connection.write(fill(ANSWER, "r-1", "id-1"));
+                    written.countDown();
+                });
+        CompletableFuture<Result> offered =
+                bench.loop()
+                        .submit(
+                                () -> {
+                                    CompletableFuture<Result> result =
+                                            bench.offerNow("r-1", "id-1", HttpMethod.GET);
+                                    // Between the start of the connection and its end.
+                                    bench.loop().submit(() -> written.await(5, TimeUnit.SECONDS));
+                                    return result;
+                                })
+                        .get(10, TimeUnit.SECONDS);
+        Result result = offered.get(10, TimeUnit.SECONDS);
+        assertEquals(OutcomeHeaders.NOT_RUN, result.outcome(), result::toString);
+        assertEquals(Set.of(), ran);
+    }
+
+    /** An identifier comes again: a copy of the first answer would be taken for the second. */
+    @Test
+    void sameIdentifierGoesToAnotherConnection() throws Exception {
+        bench.begin(
+                (connection, run, id) -> {
+                    String own = fill(ANSWER, run, id);
+                    connection.write(connection.held + own);
+                    connection.held = own;
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        assertOwn("r-2", call("r-2", "id-1"));
+        assertEquals(2, bench.connections());
+    }
+
+    /** A whole late copy of an earlier answer does not cost the next request its answer. */
+    @Test
+    void wholeCopyOfAnEarlierAnswerIsSkipped() throws Exception {
+        bench.begin(
+                (connection, run, id) -> {
+                    String own = fill(ANSWER, run, id);
+                    connection.write(connection.held + own);
+                    connection.held = own;
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        assertOwn("r-2", call("r-2", "id-2"));
+        assertEquals(1, bench.connections());
+    }
+
+    /**
+     * An answer has an identifier that its connection never carried, and nothing follows. The run
+     * ends at once, so that its slot is free.
+     */
+    @Test
+    void answerToAnUnknownIdentifierEndsTheRun() throws Exception {
+        bench.begin(
+                (connection, run, id) -> {
+                    connection.write(fill(ANSWER, run, "id-unknown"));
+                    return true;
+                });
+        Result result = call("r-1", "id-1");
+        assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+        assertTrue(result.millis() < MAX_MILLIS, result::toString);
+    }
+
+    /** A copy that stops in its body swallows the answer behind it. The run ends soon. */
+    @Test
+    void answerInsideAnUnfinishedCopyEndsTheRun() throws Exception {
+        String copy = ANSWER.replace("Content-Length: 3", "Content-Length: 3000");
+        bench.begin(
+                (connection, run, id) -> {
+                    String own = fill(ANSWER, run, id);
+                    connection.write(connection.held + own);
+                    connection.held = fill(copy, run, id);
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        Result result = call("r-2", "id-2");
+        assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+        assertTrue(result.millis() < MAX_MILLIS, result::toString);
+    }
+}
