Test an early success and an answer without an identifier

Two rules on the streams had no case of their own beside the whole nodes: a success before the request is written whole is no answer, and a connection is not used again after an answer without an identifier.

--- a/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
@@ -92,7 +92,7 @@
 
     /** Writes to a new connection before any request. */
     interface Greeting {
-        void greet(Connection connection) throws IOException;
+        void greet(Connection connection) throws IOException, InterruptedException;
     }
 
     /** What the entry side receives. Outcome is one of {@link OutcomeHeaders}, or "broken". */
@@ -119,6 +119,13 @@
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Waits for the first bytes of a request without reading them. */
+        void awaitBytes() throws IOException, InterruptedException {
+            while (socket.getInputStream().available() == 0) {
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+        }
+
         /** Closes the connection when it has been silent for a moment, to save time. */
         void closeSoon() throws IOException {
             socket.setSoTimeout(SUSPECT_SILENCE_MILLIS);
@@ -171,19 +178,29 @@
 
     /** Offers a request to the host side. */
     CompletableFuture<Result> offer(String run, String id, HttpMethod method) {
+        return offer(run, id, method, body(run, method));
+    }
+
+    /** Offers a request with a body. */
+    CompletableFuture<Result> offer(String run, String id, HttpMethod method, String body) {
         Exchange exchange = new Exchange();
-        loop.execute(() -> offerNow(exchange, run, id, method));
+        loop.execute(() -> offerNow(exchange, run, id, method, body));
         return exchange.result;
     }
 
     /** As {@link #offer}, on the event loop and at once. */
     CompletableFuture<Result> offerNow(String run, String id, HttpMethod method) {
         Exchange exchange = new Exchange();
-        offerNow(exchange, run, id, method);
+        offerNow(exchange, run, id, method, body(run, method));
         return exchange.result;
     }
 
-    private void offerNow(Exchange exchange, String run, String id, HttpMethod method) {
+    private static String body(String run, HttpMethod method) {
+        return method.equals(HttpMethod.POST) ? "body of " + run : "";
+    }
+
+    private void offerNow(
+            Exchange exchange, String run, String id, HttpMethod method, String body) {
         HostGate gate = new HostGate(new RetryBudgetShare(1, 60, 10, 1, System.nanoTime()));
         HostService service =
                 new HostService(
@@ -214,7 +231,6 @@
                 .set(NAMES.requestId(), id)
                 .set(RUN, run);
         EmbeddedChannel entrySide = new EmbeddedChannel(exchange, new HostHandler(service));
-        String body = hasBody ? "body of " + run : "";
         entrySide.writeInbound(
                 request,
                 new DefaultLastHttpContent(
--- a/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -194,6 +194,39 @@
         assertEquals(Set.of(), ran);
     }
 
+    /** A success came before its request was written. The target cannot have read all of it. */
+    @Test
+    void successBeforeTheWholeRequestIsNotBelieved() throws Exception {
+        bench.begin(
+                (connection, run, id) -> true,
+                connection -> {
+                    connection.awaitBytes();
+                    connection.write(fill(ANSWER, "r-1", "id-1"));
+                });
+        Result result =
+                bench.offer("r-1", "id-1", HttpMethod.POST, "x".repeat(16 << 20))
+                        .get(10, TimeUnit.SECONDS);
+        assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+    }
+
+    /** A failure without an identifier, whose copy could be taken for any later answer. */
+    @Test
+    void connectionOfAnAnswerWithoutIdentifierIsNotUsedAgain() throws Exception {
+        String failure = "HTTP/1.1 500 Status\r\nContent-Length: 3\r\n\r\nRUN";
+        bench.begin(
+                (connection, run, id) -> {
+                    String own = fill(run.equals("r-1") ? failure : ANSWER, run, id);
+                    connection.write(connection.held + own);
+                    connection.held = own;
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+        Result next = call("r-2", "id-2");
+        assertOwn("r-2", next);
+        assertEquals(200, next.status());
+        assertEquals(2, bench.connections());
+    }
+
     /** An identifier comes again: a copy of the first answer would be taken for the second. */
     @Test
     void sameIdentifierGoesToAnotherConnection() throws Exception {
