Play several starts of one id and the laws of the union

No caller saw a fault: no test noticed when a departure was forgotten because an older start of the id replaced a newer one in Departures.union.

Why it works: sets are compared with the last start of each id in all that was gathered, also beyond the size that is kept, and unions in any order, grouping and repetition. The production code is unchanged.

--- a/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
+++ b/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
@@ -4,11 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BinaryOperator;
+import java.util.stream.Collectors;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -105,6 +111,94 @@
         }
     }
 
+    /** Few ids, so that one id has several starts, or more ids than are kept. */
+    @Provide
+    Arbitrary<List<Departure>> departures() {
+        Arbitrary<Integer> idCounts = Arbitraries.of(2, 5, Departures.MAX_SIZE + 20);
+        return idCounts.flatMap(
+                ids ->
+                        Combinators.combine(
+                                        Arbitraries.integers().between(1, ids).map(i -> "i-" + i),
+                                        Arbitraries.longs().between(1, 3L * ids))
+                                .as(Departure::new)
+                                .list()
+                                .ofMaxSize(2 * ids));
+    }
+
+    /** Guards against an older start of an id that replaces a newer one: a forgotten departure. */
+    @Property
+    void departureIsForgottenOnlyBySize(
+            @ForAll("departures") List<Departure> first,
+            @ForAll("departures") List<Departure> second) {
+        List<Departure> all = new ArrayList<>(first);
+        all.addAll(second);
+        Departures union = gather(first).union(gather(second));
+        assertEquals(lastStarts(all), union.lastStarts());
+        assertEquals(union, gather(all));
+        for (Departure departure : all) {
+            boolean kept = union.covers(departure.id(), departure.start());
+            assertTrue(kept || union.lastStarts().size() == Departures.MAX_SIZE, all::toString);
+        }
+    }
+
+    /** Guards against sets that differ between nodes, as each hears the news in its own order. */
+    @Property
+    void unionDoesNotDependOnOrderGroupingOrRepetition(
+            @ForAll("departures") List<Departure> first,
+            @ForAll("departures") List<Departure> second,
+            @ForAll("departures") List<Departure> third) {
+        Departures a = gather(first);
+        Departures b = gather(second);
+        Departures c = gather(third);
+        assertEquals(a.union(b), b.union(a));
+        assertEquals(a.union(b).union(c), a.union(b.union(c)));
+        assertEquals(a, a.union(a));
+        assertEquals(a.union(b), a.union(b).union(b));
+        assertEquals(a, a.union(Departures.NONE));
+        assertEquals(a, Departures.NONE.union(a));
+        boolean unchanged = a.union(b).equals(a);
+        assertTrue(unchanged || !a.containsAll(b));
+        // A full set forgets older departures, so that it may be unchanged without having them.
+        assertTrue(a.containsAll(b) || !unchanged || a.lastStarts().size() == Departures.MAX_SIZE);
+    }
+
+    /** Guards against a restart's news of an id that ends the departure of its latest start. */
+    @Example
+    void olderStartDoesNotReplaceANewerOne() {
+        // The other id makes the union differ from both sets.
+        Departures newer = Departures.NONE.with("a", 5);
+        Departures older = Departures.NONE.with("a", 4).with("b", 1);
+        assertEquals(Map.of("a", 5L, "b", 1L), newer.union(older).lastStarts());
+        assertEquals(Map.of("a", 5L, "b", 1L), older.union(newer).lastStarts());
+    }
+
+    private static Departures gather(List<Departure> departures) {
+        Departures gathered = Departures.NONE;
+        for (Departure departure : departures) {
+            gathered = gathered.with(departure.id(), departure.start());
+        }
+        return gathered;
+    }
+
+    /** The last start of each id; of too many ids those with the latest starts. */
+    private static Map<String, Long> lastStarts(List<Departure> departures) {
+        Map<String, Long> last =
+                departures.stream()
+                        .collect(
+                                Collectors.toMap(
+                                        Departure::id,
+                                        Departure::start,
+                                        BinaryOperator.maxBy(Comparator.naturalOrder())));
+        return last.entrySet().stream()
+                .sorted(
+                        Comparator.comparing((Map.Entry<String, Long> entry) -> -entry.getValue())
+                                .thenComparing(Map.Entry::getKey))
+                .limit(Departures.MAX_SIZE)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    }
+
+    private record Departure(String id, long start) {}
+
     @Example
     void anotherTargetAtTheSameAddressIsNotCovered() {
         Departures departures = Departures.NONE.with("a", 5);
