Discard connections of the blocking clients with bytes behind an answer

Callers of a node (`node`, `proxy`) got the answer to another request, or the status of one with the body of another, if a target sent its answer, or the beginning of it, a second time; calls of the object store took the copy of a response for the response to the next call. The HTTP library keeps bytes behind a response in the buffer of the pooled connection and reads the next response from there; its check of idle connections accepts unread bytes, and its default parser skips lines before a status line.

Why it works: a connection with bytes in its buffer or at its socket is stale at its lease, without a wait, and the strict parser rejects heads with a status line in a reason phrase, a name or a value, or with both kinds of framing, as an unknown outcome. The rule for status lines is shared with `traffic`. A whole copy that arrives after the next request was written can be told only if the target echoes the exchange id. HttpTargetProber uses another library and is not changed.

--- a/src/main/java/org/azureshed/platform/HttpObjectStore.java
+++ b/src/main/java/org/azureshed/platform/HttpObjectStore.java
@@ -31,6 +31,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.azureshed.http.CleanConnectionFactory;
 import org.azureshed.json.JsonFields;
 import org.azureshed.json.JsonSlice;
 import org.azureshed.telemetry.EventLog;
@@ -101,6 +102,8 @@
                 HttpClients.custom()
                         .setConnectionManager(
                                 PoolingHttpClientConnectionManagerBuilder.create()
+                                        .setConnectionFactory(
+                                                new CleanConnectionFactory(Duration.ZERO))
                                         .setDefaultConnectionConfig(connections)
                                         .setMaxConnTotal(MAX_CONNECTIONS)
                                         .setMaxConnPerRoute(MAX_CONNECTIONS)
--- a/src/main/java/org/azureshed/proxy/ForwardClient.java
+++ b/src/main/java/org/azureshed/proxy/ForwardClient.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.azureshed.http.CleanConnectionFactory;
 import org.azureshed.model.Endpoint;
 import org.azureshed.model.Outcome;
 import org.azureshed.model.RefusalReason;
@@ -43,7 +44,7 @@
      */
     private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(20);
 
-    private static final TimeValue VALIDATE_AFTER = TimeValue.ofSeconds(1);
+    private static final Duration CHECK_CLOSE_AFTER = Duration.ofSeconds(1);
     private static final int MAX_CONNECTIONS_PER_PEER = 350;
     private static final int MAX_CONNECTIONS = 4_000;
 
@@ -72,6 +73,7 @@
 
     private static PoolingHttpClientConnectionManager connectionManager() {
         return PoolingHttpClientConnectionManagerBuilder.create()
+                .setConnectionFactory(new CleanConnectionFactory(CHECK_CLOSE_AFTER))
                 .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
                 .setMaxConnPerRoute(MAX_CONNECTIONS_PER_PEER)
                 .setMaxConnTotal(MAX_CONNECTIONS)
@@ -80,7 +82,7 @@
                         ConnectionConfig.custom()
                                 .setConnectTimeout(CONNECT_TIMEOUT)
                                 .setSocketTimeout(BODY_IDLE_TIMEOUT)
-                                .setValidateAfterInactivity(VALIDATE_AFTER)
+                                .setValidateAfterInactivity(TimeValue.ZERO_MILLISECONDS)
                                 .build())
                 .build();
     }
--- a/src/main/java/org/azureshed/traffic/ResponseHeads.java
+++ b/src/main/java/org/azureshed/traffic/ResponseHeads.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Pattern;
+import org.azureshed.http.StatusLines;
 
 /**
  * Checks that a response head was sent as one. If a server stops in the middle of a head and goes
@@ -12,7 +12,6 @@
  * the second.
  */
 final class ResponseHeads {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(\\s|$)");
     private static final String PROTOCOL = "HTTP";
 
     private ResponseHeads() {}
@@ -28,11 +27,11 @@
         if (!response.protocolVersion().protocolName().equals(PROTOCOL)) {
             return Optional.of("protocol " + response.protocolVersion());
         }
-        if (holdsStatusLine(response.status().reasonPhrase())) {
+        if (StatusLines.in(response.status().reasonPhrase())) {
             return Optional.of("status line in the reason phrase");
         }
         for (Map.Entry<String, String> header : response.headers()) {
-            if (holdsStatusLine(header.getValue()) || holdsStatusLine(header.getKey())) {
+            if (StatusLines.in(header.getValue()) || StatusLines.in(header.getKey())) {
                 return Optional.of("status line in header " + header.getKey());
             }
         }
@@ -41,9 +40,4 @@
                 .map(name -> "more than one header " + name)
                 .findFirst();
     }
-
-    private static boolean holdsStatusLine(String text) {
-        // The first character of a status line rules out most values without a search.
-        return text.indexOf("HTTP/") >= 0 && STATUS_LINE.matcher(text).find();
-    }
 }
--- a/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
+++ b/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
@@ -15,7 +15,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import org.azureshed.node.ScriptedTarget;
 import org.azureshed.standin.PlatformStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +25,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks the result that the client reports for each fault of the platform. */
 class HttpObjectStoreTest {
@@ -82,6 +85,38 @@
         assertArrayEquals(bytes(written ? "b" : "a"), store.get(KEY).get().value());
     }
 
+    /**
+     * Guards against a response to one call that is taken for the response to the next, because the
+     * platform sent it twice.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20})
+    void copyOfAResponseIsNotBelieved(int delayMillis) throws Exception {
+        String missing = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+        String busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        AtomicInteger calls = new AtomicInteger();
+        try (ScriptedTarget server =
+                        new ScriptedTarget(
+                                (head, socket) -> {
+                                    boolean first = calls.getAndIncrement() == 0;
+                                    boolean atOnce = first && delayMillis == 0;
+                                    ScriptedTarget.write(
+                                            socket,
+                                            first ? missing + (atOnce ? missing : "") : busy);
+                                    if (first && !atOnce) {
+                                        Thread.sleep(delayMillis);
+                                        ScriptedTarget.write(socket, missing);
+                                    }
+                                    return true;
+                                });
+                HttpObjectStore stuttering =
+                        new HttpObjectStore(URI.create("http://127.0.0.1:" + server.port()))) {
+            assertEquals(new StoreError.NotFound(KEY), stuttering.get(KEY).getLeft());
+            Thread.sleep(2L * delayMillis);
+            assertInstanceOf(StoreError.Unavailable.class, stuttering.get(KEY).getLeft());
+        }
+    }
+
     @Test
     void refusedConnectionIsNotAnUnknownOutcome() {
         platform.close();
