Keep the length of answers without a body, and send none between nodes

The caller of HEAD, and of a GET answered 304, was told `Content-Length: 0` in place of the length that the target had stated, or where it had stated none. Between nodes a HEAD answer without a length ended with a chunk terminator behind its head, which the entry side, since it knows the method, takes for bytes behind the answer and so closes the connection.

Why it works: both sides ask the same rule whether a body can follow (not for HEAD, 204 and 304). If not, the host side adds no chunked framing and the entry side passes the target's length on, or none. 205 is framed by its headers as RFC 9112 says.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -142,6 +142,13 @@
          */
         record Cut(String text, boolean reset) implements Behaviour {}
 
+        /**
+         * Runs the request and sends an answer as it is.
+         *
+         * @param text the answer, ASCII; {@code ID} is replaced by the request identifier
+         */
+        record Raw(String text) implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -295,6 +302,7 @@
                 socket.setOption(StandardSocketOptions.SO_LINGER, 0);
                 return false;
             }
+            case Behaviour.Raw raw -> write(out, raw.text().replace("ID", request.requestId()));
             case Behaviour.Cut cut -> {
                 write(out, cut.text().replace("ID", request.requestId()));
                 if (cut.reset()) {
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -297,9 +297,15 @@
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1, source.status(), attempt.takeBuffered());
             ForwardedHeaders.copy(source.headers(), response.headers());
-            if (source.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
+            if (ResponseHeads.mayHaveBody(request.method(), source.status())) {
                 response.headers()
                         .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            } else if (source.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                // Tells the length that the body of another answer would have.
+                response.headers()
+                        .set(
+                                HttpHeaderNames.CONTENT_LENGTH,
+                                source.headers().get(HttpHeaderNames.CONTENT_LENGTH));
             }
             setConnectionHeader(response, keep);
             context.writeAndFlush(response);
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -292,7 +292,7 @@
         String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length != null) {
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-        } else {
+        } else if (ResponseHeads.mayHaveBody(request.method(), response.status())) {
             forwarded.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         context.write(forwarded);
--- a/src/main/java/org/azureshed/traffic/ResponseHeads.java
+++ b/src/main/java/org/azureshed/traffic/ResponseHeads.java
@@ -1,6 +1,8 @@
 package org.azureshed.traffic;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,4 +42,11 @@
                 .map(name -> "more than one header " + name)
                 .findFirst();
     }
+
+    /** Whether a response has a body if its headers say so; otherwise its head ends it. */
+    static boolean mayHaveBody(HttpMethod method, HttpResponseStatus status) {
+        return !method.equals(HttpMethod.HEAD)
+                && status.code() != HttpResponseStatus.NO_CONTENT.code()
+                && status.code() != HttpResponseStatus.NOT_MODIFIED.code();
+    }
 }
