End a call whose response was swallowed by a skipped one

A run held its slot until its deadline if the copy skipped before its answer was cut in its body: the copy ended within the answer, and the rest of the answer formed no line.

Cause: the limit of 250 ms on a skipped response ended with that response, whatever was left behind it.

Why it works: bytes behind a skipped response must form a head within 250 ms. If the copy swallows the answer exactly, nothing is left to tell it by, and the run still ends at its deadline.

--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -69,6 +69,9 @@
     /** Whether the current response is discarded because it belongs to an earlier request. */
     private boolean skippingResponse;
 
+    /** Whether a response was discarded since the call began. */
+    private boolean skippedResponse;
+
     /** Whether the connection may carry another call; false once a response forbids it. */
     private boolean reusable = true;
 
@@ -146,6 +149,7 @@
         listener = next;
         head = null;
         skippingResponse = false;
+        skippedResponse = false;
         requestWritten = false;
         interimResponses = 0;
         skippedBytes = 0;
@@ -310,6 +314,7 @@
     }
 
     private void onHead(HttpResponse response) {
+        cancelDiscardTimer();
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             interimResponses++;
             if (interimResponses > MAX_INTERIM_RESPONSES) {
@@ -333,6 +338,7 @@
         if (skippingResponse) {
             skippingResponse = false;
             head = null;
+            skippedResponse = true;
             cancelDiscardTimer();
             return;
         }
@@ -375,6 +381,13 @@
         if (releasePending) {
             releasePending = false;
             pool.release(this);
+        } else if (skippedResponse
+                && listener != null
+                && head == null
+                && discardTimer == null
+                && decoder.undecodedBytes() > 0) {
+            // The skipped response may have ended within this one, whose rest forms no head.
+            limitDiscarding(() -> fail(CallFailure.MALFORMED));
         }
     }
 
