Deliver a success that comes before the end of a long body

Callers got 502 where their target had answered 200 before it had read a long body, which targets may do.

Cause: a success before the whole request was written counted as no answer.

--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -265,15 +265,14 @@
 
     /**
      * Whether the response is a genuine answer of the target. A success must have the target's
-     * signature, the request's id and no content encoding, and follow the whole request. A 408, 429
-     * or 503 is not an answer, because it leaves open whether the request ran. Responses that state
-     * that it did not run are handled before.
+     * signature, the request's id and no content encoding; it may come before the end of a long
+     * body. A 408, 429 or 503 is not an answer, because it leaves open whether the request ran.
+     * Responses that state that it did not run are handled before.
      */
     private boolean isGenuine(HttpResponse response, String echoed) {
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success) {
             return echoed != null
-                    && targetConnection.requestWritten()
                     && response.headers().contains(service.names().signature())
                     && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
         }
