Check the identity and the body of answers beside copies

SplicedAnswerTest could not tell the answer to one request from that to another with the same status, nor the body of the copy from the own one, and no copy ended behind the last header or in the body. Four cuts are new.

--- a/src/test/java/org/azureshed/platform/SplicedAnswerTest.java
+++ b/src/test/java/org/azureshed/platform/SplicedAnswerTest.java
@@ -5,11 +5,13 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.azureshed.platform.standin.ProtocolRequests;
 import org.azureshed.platform.standin.TargetStandIn.Behaviour;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -38,7 +40,11 @@
                     "text/plain\r\n",
                     "X-Azureshed-Request-Id: id",
                     "X-Azureshed-Request-Id: ID\r\nX-Azure",
-                    "X-Azureshed-Response-Signature: s");
+                    "X-Azureshed-Response-Signature: s",
+                    "Content-Length: 5\r\n",
+                    "Content-Length: 5\r\n\r",
+                    "Content-Length: 5\r\n\r\n",
+                    "\r\n\r\nfirs");
 
     static Stream<Arguments> copies() {
         Stream<Arguments> cuts =
@@ -113,14 +119,14 @@
         }
     }
 
-    private static void play(Behaviour behaviour) throws Exception {
+    private static void play(Behaviour.PartialCopy behaviour) throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop", "shop");
                 ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             fleet.targets.forEach(target -> target.behaviour(request -> behaviour));
             List<Future<List<String>>> lanes = new ArrayList<>();
             for (int lane = 0; lane < LANES; lane++) {
                 String prefix = "id-" + lane + '-';
-                lanes.add(callers.submit(() -> requests(fleet, prefix)));
+                lanes.add(callers.submit(() -> requests(fleet, behaviour, prefix)));
             }
             List<String> faults = new ArrayList<>();
             for (Future<List<String>> lane : lanes) {
@@ -130,7 +136,8 @@
         }
     }
 
-    private static List<String> requests(SidecarFleet fleet, String prefix) throws Exception {
+    private static List<String> requests(
+            SidecarFleet fleet, Behaviour.PartialCopy behaviour, String prefix) throws Exception {
         List<String> faults = new ArrayList<>();
         for (int i = 0; i < REQUESTS_PER_LANE; i++) {
             String id = prefix + i;
@@ -141,7 +148,7 @@
                             ? fleet.request(0, "GET", "/read/a", id)
                             : fleet.request(0, "POST", "/write/a", id);
             long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
-            String fault = fault(fleet, id, repeatable, response);
+            String fault = fault(fleet, behaviour, id, repeatable, response);
             if (!fault.isEmpty() || millis > MAX_MILLIS) {
                 faults.add(id + ": " + fault + ' ' + millis + " ms");
             }
@@ -150,7 +157,11 @@
     }
 
     private static String fault(
-            SidecarFleet fleet, String id, boolean repeatable, HttpResponse<String> response) {
+            SidecarFleet fleet,
+            Behaviour.PartialCopy behaviour,
+            String id,
+            boolean repeatable,
+            HttpResponse<String> response) {
         int status = response.statusCode();
         long executions = fleet.executions(id);
         List<Integer> answered =
@@ -161,10 +172,19 @@
         if (List.of(408, 421, 429, 503).contains(status)) {
             return executions > 0 ? "said not to have run, but ran: " + status : "";
         }
-        if (status != 502 && status != 504 && !answered.contains(status)) {
+        if (status == 502 || status == 504 && !answered.contains(504)) {
+            return "";
+        }
+        if (!answered.contains(status)) {
             return "status " + status + " where targets answered " + answered;
         }
-        boolean whole = List.of("first", "own").contains(response.body());
-        return status == 200 && !whole ? "body \"" + response.body() + '"' : "";
+        if (!ProtocolRequests.isTargetResponse(response, id)
+                || !response.headers()
+                        .firstValue("X-Azureshed-Response-Signature")
+                        .equals(Optional.of("s." + id))) {
+            return "answer to another request: " + response.headers().map();
+        }
+        String body = status == behaviour.firstStatus() ? "first" : "own";
+        return response.body().equals(body) ? "" : "body \"" + response.body() + '"';
     }
 }
