--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -105,6 +105,11 @@
         return requests;
     }
 
+    /** Whether the current request was written to its end. */
+    boolean requestWritten() {
+        return requestWritten;
+    }
+
     /** Notes the identifier of the next request. */
     void carry(String requestId) {
         carried.add(requestId);
