Refuse a body until close that holds a second answer

Callers got a success whose body held the answer twice, with the second head inside, if a target answered without a length, answered once more and closed.

Why it works: in a body that only the close ends, a status line with the identifier of the request in the lines up to the blank line is the head of a copy; the answer is cut there, so that the caller sees it as incomplete. A copy that stops before its identifier can't be told from a body.

--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -75,6 +75,10 @@
     private boolean sent;
 
     private boolean responseStarted;
+
+    /** Checks the body of an answer that only the end of its connection ends; otherwise null. */
+    private CopyDetector copyDetector;
+
     private boolean done;
     private long runStartNanos;
     private int status;
@@ -293,6 +297,9 @@
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else if (ResponseHeads.mayHaveBody(request.method(), response.status())) {
             forwarded.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            if (!response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+                copyDetector = new CopyDetector(service.names().requestId(), requestId());
+            }
         }
         context.write(forwarded);
     }
@@ -300,6 +307,12 @@
     @Override
     public void content(ByteBuf data) {
         if (!done && responseStarted) {
+            if (copyDetector != null && copyDetector.found(data)) {
+                service.events().anomaly("second_answer_in_body", "id", requestId());
+                targetConnection.cancel();
+                fail("second answer in the body");
+                return;
+            }
             context.writeAndFlush(new DefaultHttpContent(data.retain()));
             if (!context.channel().isWritable()) {
                 targetConnection.setAutoRead(false);
