Let the targets of the soak send copies of their answers

New: a target failure that succeeds, fails with 500 or refuses with 503 as not run, and sends each answer a second time, whole or cut at a byte of its head, at once, up to 3 ms later or before its next answer. The cut follows from the plan and the identifier. The checks are unchanged: a success where the target answered 500 is "mixed", since the 500 has no body, and a refusal of a request that ran is "refused". Plans keep their times and order; the kinds of target failures move by the new one.

--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -149,6 +149,21 @@
          */
         record Raw(String text) implements Behaviour {}
 
+        /**
+         * Answers, and later sends a second copy of the answer, or the beginning of it, on the same
+         * connection. With status 503 the request does not run, otherwise it does.
+         *
+         * @param status HTTP status of the answer
+         * @param millis run time in ms
+         * @param body body of the answer, ASCII
+         * @param share part of the head that the copy holds; 1 or more for a whole copy with its
+         *     body
+         * @param delayMillis time in ms from the answer to its copy; negative to send the copy
+         *     before the next answer of this kind on the connection
+         */
+        record CutCopy(int status, long millis, String body, double share, long delayMillis)
+                implements Behaviour {}
+
         /** Runs the request and never answers. */
         record NoAnswer() implements Behaviour {}
 
@@ -331,6 +346,7 @@
                     write(out, answer);
                 }
             }
+            case Behaviour.CutCopy copy -> sendWithCutCopy(copy, request, socket, out);
             case Behaviour.Endless endless -> sendEndlessly(endless, request, out);
             default -> TimeUnit.SECONDS.sleep(30);
         }
@@ -352,6 +368,8 @@
                 lateCopies.put(socket, answer);
                 write(out, answer);
             }
+            case Behaviour.CutCopy copy when copy.status() == 503 ->
+                    sendWithCutCopy(copy, request, socket, out);
             case Behaviour.PartialCopy partial when first && !partial.runsFirst() ->
                     sendWithPartialCopy(partial, request, socket, out);
             default -> {
@@ -380,6 +398,23 @@
         lateCopies.put(socket, partial.delayMicros() < 0 ? copy : "");
     }
 
+    private void sendWithCutCopy(
+            Behaviour.CutCopy copy, Request request, Socket socket, OutputStream out)
+            throws IOException, InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(copy.millis());
+        String answer = response(request, copy.status(), copy.body());
+        int cut = (int) (copy.share() * answer.indexOf("\r\n\r\n"));
+        String second = copy.share() < 1 ? answer.substring(0, cut) : answer;
+        String held = lateCopies.remove(socket);
+        write(out, (held == null ? "" : held) + answer);
+        if (copy.delayMillis() < 0) {
+            lateCopies.put(socket, second);
+        } else {
+            TimeUnit.MILLISECONDS.sleep(copy.delayMillis());
+            write(out, second);
+        }
+    }
+
     /** Returns an answer whose first header is not the request identifier, and notes its status. */
     private String response(Request request, int status, String body) {
         statuses.computeIfAbsent(request.requestId(), id -> new CopyOnWriteArrayList<>())
--- a/src/test/java/org/azureshed/process/SoakFault.java
+++ b/src/test/java/org/azureshed/process/SoakFault.java
@@ -26,6 +26,8 @@
         GARBAGE,
         /** Sends the response twice. */
         TWICE,
+        /** Succeeds, fails or refuses, and sends a copy of each answer later, whole or begun. */
+        COPIES,
         /** Sends no response. */
         NO_RESPONSE,
         /** Rejects the request without running it. */
--- a/src/test/java/org/azureshed/process/SoakTarget.java
+++ b/src/test/java/org/azureshed/process/SoakTarget.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.http.HttpClient;
+import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -178,6 +179,10 @@
         if (fails && activeFailure.kind() == SoakFault.TargetFailureKind.SHEDS) {
             return new Behaviour.Shed();
         }
+        boolean copies = fails && activeFailure.kind() == SoakFault.TargetFailureKind.COPIES;
+        if (copies && random.nextInt(4) == 0) {
+            return copied(503, 0, "", activeFailure, name, request);
+        }
         long now = System.nanoTime();
         journal.recordRun(request.requestId(), new SoakJournal.Run(name, node, path, now));
         checkDeparture(name, request.requestId(), now);
@@ -191,6 +196,10 @@
             case RESETS -> new Behaviour.Reset();
             case TRUNCATED -> new Behaviour.Truncated();
             case GARBAGE -> new Behaviour.Garbage();
+            case COPIES ->
+                    random.nextBoolean()
+                            ? copied(200, workMillis, body, activeFailure, name, request)
+                            : copied(500, workMillis, "", activeFailure, name, request);
             case TWICE -> new Behaviour.Twice(body);
             case NO_RESPONSE -> new Behaviour.NoAnswer();
             case SLOW -> new Behaviour.Answer(200, workMillis + SLOW_RESPONSE_MILLIS, body);
@@ -198,6 +207,21 @@
         };
     }
 
+    /** Answers twice; half of the second answers end at a byte of the head, some come later. */
+    private static Behaviour copied(
+            int status,
+            long millis,
+            String body,
+            SoakFault.TargetFailure failure,
+            String name,
+            TargetStandIn.Request request) {
+        SplittableRandom random =
+                new SplittableRandom(
+                        Objects.hash(failure.probability(), name, request.requestId()));
+        double share = random.nextBoolean() ? 1 : random.nextDouble();
+        return new Behaviour.CutCopy(status, millis, body, share, random.nextLong(-3, 4));
+    }
+
     private void checkDeparture(String name, String requestId, long now) {
         boolean afterDrain = now - departureNanos > TimeUnit.MILLISECONDS.toNanos(DRAIN_MILLIS);
         if (afterDrain && departureNanos != Long.MAX_VALUE && name.equals(id)) {
