--- a/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/TargetStandIn.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -266,7 +265,7 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             while (true) {
-                Request request = read(in);
+                Request request = RequestReader.read(in);
                 if (request == null || !respond(request, socket, out)) {
                     return;
                 }
@@ -476,36 +475,4 @@
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
     }
-
-    private static Request read(InputStream in) throws IOException {
-        String line = readLine(in);
-        if (line == null) {
-            return null;
-        }
-        Map<String, String> headers = new TreeMap<>();
-        for (String header = readLine(in);
-                header != null && !header.isEmpty();
-                header = readLine(in)) {
-            int colon = header.indexOf(':');
-            headers.put(
-                    header.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
-                    header.substring(colon + 1).trim());
-        }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        return new Request(
-                line, headers, new String(in.readNBytes(length), StandardCharsets.UTF_8));
-    }
-
-    private static String readLine(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            if (next == '\n') {
-                return line.toString();
-            }
-            if (next != '\r') {
-                line.append((char) next);
-            }
-        }
-        return null;
-    }
 }
