Bound the memory for bodies and refuse what does not fit as not run

The reported 500 from exhausted direct memory was read in the code, not reproduced.

Cause: two bounds of 48 MiB that knew nothing of each other or of the JVM's 96 MiB, counted bytes instead of buffers and left out pipelined requests. The host side noticed only after the admission and closed the connection.

Why it works: SidecarSettings.bodyMemoryBytes, a tenth of the platform's memory limit and at most half of the JVM's direct memory, is halved for the two sides and counts whole buffers, also both of them while one is replaced. A known length is reserved with the head; an offer names the length and is refused before the gate, or when its slot comes. A refused caller's rest is read for 1 s at most, as closing with unread bytes resets the connection and loses the refusal.

--- a/src/main/java/org/azureshed/platform/SettingsDecoder.java
+++ b/src/main/java/org/azureshed/platform/SettingsDecoder.java
@@ -17,6 +17,8 @@
     /** IP address at which other nodes reach this one, if not the address it listens on. */
     private static final String ADVERTISED_IP_VARIABLE = "AZURESHED_ADVERTISED_IP";
 
+    private static final long BYTES_PER_MEGABYTE = 1_000_000;
+
     private SettingsDecoder() {}
 
     /**
@@ -66,6 +68,7 @@
                 bound(bounds, "budgetRatio"),
                 bound(bounds, "budgetSlack"),
                 bound(bounds, "budgetWindowS"),
+                bodyMemoryBytes(json.at("/limits/memoryMb")),
                 json.path("bootstrap").asBoolean());
     }
 
@@ -122,6 +125,16 @@
         return Endpoint.parseIp(ip + ':' + (int) port);
     }
 
+    private static long bodyMemoryBytes(JsonNode memoryMb) {
+        if (memoryMb.isMissingNode() || memoryMb.isNull()) {
+            return SidecarSettings.DEFAULT_BODY_MEMORY_BYTES;
+        }
+        if (!memoryMb.isNumber()) {
+            throw new IllegalArgumentException("the settings have no number at /limits/memoryMb");
+        }
+        return SidecarSettings.bodyMemoryOf((long) (memoryMb.doubleValue() * BYTES_PER_MEGABYTE));
+    }
+
     private static double number(JsonNode json, String pointer) {
         JsonNode value = json.at(pointer);
         if (!value.isNumber()) {
--- a/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
@@ -7,7 +7,10 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.azureshed.directory.Condition;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.traffic.TrafficEvents;
@@ -33,6 +36,8 @@
     private final Histogram entrySeconds;
     private final Histogram hostSeconds;
     private final Gauge droppedLines;
+    private final Gauge bodyMemory;
+    private final Map<String, LongSupplier> bodyMemorySides = new TreeMap<>();
 
     SidecarMetrics(DecisionLog log) {
         this.log = log;
@@ -76,6 +81,12 @@
                 histogram(
                         "azureshed_host_request_seconds",
                         "Time from an offer's arrival to its end, in seconds");
+        this.bodyMemory =
+                Gauge.builder()
+                        .name("azureshed_body_memory_bytes")
+                        .help("Memory held for the bodies of requests, in bytes, by side")
+                        .labelNames("side")
+                        .register(registry);
         this.droppedLines =
                 Gauge.builder()
                         .name("azureshed_log_lines_dropped")
@@ -83,6 +94,11 @@
                         .register(registry);
     }
 
+    /** Adds a side of the node whose held body bytes are exposed. */
+    void observeBodyMemory(String side, LongSupplier bytes) {
+        bodyMemorySides.put(side, bytes);
+    }
+
     private Counter counter(String name, String help, String label) {
         return Counter.builder().name(name).help(help).labelNames(label).register(registry);
     }
@@ -170,6 +186,8 @@
 
     byte[] exposition() throws IOException {
         droppedLines.set(log.droppedLines());
+        bodyMemorySides.forEach(
+                (side, bytes) -> bodyMemory.labelValues(side).set(bytes.getAsLong()));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrometheusTextFormatWriter.create().write(out, registry.scrape());
         return out.toByteArray();
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.azureshed.host.RetryBudgetShare;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.telemetry.UnusableEntries;
+import org.azureshed.traffic.BodyMemory;
 import org.azureshed.traffic.ConnectionPool;
 import org.azureshed.traffic.ControlClient;
 import org.azureshed.traffic.ControlEndpoint;
@@ -111,14 +113,7 @@
         ControlClient client = new ControlClient(loop, nodeConnections, metrics);
         Directory directory = new Directory();
         SuspectRequests suspects = new SuspectRequests();
-        HostGate gate =
-                new HostGate(
-                        new RetryBudgetShare(
-                                settings.retryRatio(),
-                                settings.retrySlack(),
-                                settings.retryWindowSeconds(),
-                                1,
-                                System.nanoTime()));
+        HostGate gate = new HostGate(retryBudgetShare());
         this.entry =
                 new EntryService(
                         loop,
@@ -130,6 +125,7 @@
                         () -> localService,
                         gate::isRunningRetry,
                         random.split(),
+                        bodyMemory("entry"),
                         metrics);
         this.configuration =
                 new ConfigurationHolder(protocol.configuration(), entry::configure, log);
@@ -141,6 +137,7 @@
                         targetConnections,
                         settings.targetAddress(),
                         protocol.names(),
+                        bodyMemory("host"),
                         metrics);
         UnusableEntries unusable = unusableEntries();
         FleetStore store = protocol.store().apply(client, metrics::storeCall);
@@ -169,6 +166,27 @@
         fleet.onPrevious(target::restore, target::adopt);
     }
 
+    private RetryBudgetShare retryBudgetShare() {
+        return new RetryBudgetShare(
+                settings.retryRatio(),
+                settings.retrySlack(),
+                settings.retryWindowSeconds(),
+                1,
+                System.nanoTime());
+    }
+
+    /**
+     * Returns a half of the memory for bodies. The sides have separate ones: bodies that wait at
+     * entry sides must not keep host sides from taking any.
+     */
+    private BodyMemory bodyMemory(String side) {
+        // The other half of the JVM's direct memory is for answers and for what is being read.
+        long bytes = Math.min(settings.bodyMemoryBytes(), PlatformDependent.maxDirectMemory() / 2);
+        BodyMemory memory = new BodyMemory(bytes / 2);
+        metrics.observeBodyMemory(side, memory::heldBytes);
+        return memory;
+    }
+
     private UnusableEntries unusableEntries() {
         return new UnusableEntries(
                 metrics::unusableEntry,
--- a/src/main/java/org/azureshed/sidecar/SidecarSettings.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarSettings.java
@@ -1,5 +1,7 @@
 package org.azureshed.sidecar;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import org.azureshed.model.Endpoint;
 
 /**
@@ -21,6 +23,8 @@
  * @param retryRatio retry budget of the fleet as retries per request, 0 to 1
  * @param retrySlack retries allowed per window in addition to the ratio
  * @param retryWindowSeconds window of the retry budget in seconds
+ * @param bodyMemoryBytes most bytes that the bodies of requests may hold in memory, at least {@link
+ *     #MIN_BODY_MEMORY_BYTES}; half of it each for the entry side and the host side
  * @param firstStart whether the whole fleet starts for the first time
  */
 public record SidecarSettings(
@@ -40,7 +44,36 @@
         double retryRatio,
         double retrySlack,
         double retryWindowSeconds,
+        long bodyMemoryBytes,
         boolean firstStart) {
+    /** Bound on the memory for bodies where the platform states no memory limit. */
+    public static final long DEFAULT_BODY_MEMORY_BYTES = 32L << 20;
+
+    /** With less, hardly any body could be taken. */
+    public static final long MIN_BODY_MEMORY_BYTES = 64L << 10;
+
+    /** Part of the process's memory that bodies may hold, beside heap, program and answers. */
+    private static final int BODY_MEMORY_DIVISOR = 10;
+
+    /** Checks the memory for bodies. */
+    public SidecarSettings {
+        checkArgument(
+                bodyMemoryBytes >= MIN_BODY_MEMORY_BYTES,
+                "the memory for bodies must be at least %s bytes: %s",
+                MIN_BODY_MEMORY_BYTES,
+                bodyMemoryBytes);
+    }
+
+    /**
+     * Returns the memory for bodies in a process of a given size.
+     *
+     * @param processBytes memory limit of the process in bytes
+     * @return bytes for the bodies of requests
+     */
+    public static long bodyMemoryOf(long processBytes) {
+        return processBytes / BODY_MEMORY_DIVISOR;
+    }
+
     /**
      * Returns the address to which other nodes send their offers.
      *
--- a/src/main/java/org/azureshed/traffic/EntryAttempt.java
+++ b/src/main/java/org/azureshed/traffic/EntryAttempt.java
@@ -134,7 +134,8 @@
                                         exchange.retryInduced(),
                                         exchange.softDeadlineMillisLeft(),
                                         exchange.millisLeft(),
-                                        hasBody)
+                                        hasBody,
+                                        exchange.body().readableBytes())
                                 .encode())
                 .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         connection.write(head);
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -52,8 +52,7 @@
     private final EntryHandler handler;
     private final ChannelHandlerContext context;
     private final HttpRequest request;
-    private final ByteBuf body;
-    private final int bodyBytes;
+    private final RequestBody body;
     private final long startNanos;
     private final Map<Integer, EntryAttempt> attempts = new HashMap<>();
     private final StringBuilder trail = new StringBuilder();
@@ -75,14 +74,13 @@
             EntryHandler handler,
             ChannelHandlerContext context,
             HttpRequest request,
-            ByteBuf body,
+            RequestBody body,
             long startNanos) {
         this.service = service;
         this.handler = handler;
         this.context = context;
         this.request = request;
         this.body = body;
-        this.bodyBytes = body.readableBytes();
         this.startNanos = startNanos;
     }
 
@@ -95,7 +93,7 @@
     }
 
     ByteBuf body() {
-        return body;
+        return body.bytes();
     }
 
     ForwardRoute route() {
@@ -162,7 +160,8 @@
         route = found.get();
         origin = service.followUps().origin(route.name(), startNanos);
         if (!service.suspects().isEmpty()) {
-            RequestFingerprint fingerprint = Fingerprints.of(service.localService(), request, body);
+            RequestFingerprint fingerprint =
+                    Fingerprints.of(service.localService(), request, body());
             if (service.suspects().refused(fingerprint)) {
                 refuseSuspect();
                 return;
@@ -418,7 +417,6 @@
         }
         attempts.values().forEach(EntryAttempt::cancel);
         body.release();
-        service.addBufferedBytes(-bodyBytes);
         service.requestEnded();
         service.events()
                 .entryFinished(
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -22,6 +23,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.dispatch.ExchangeEvent;
@@ -36,8 +38,14 @@
     /** HTTP messages queued behind the request being served; more close the connection. */
     private static final int MAX_PIPELINED_MESSAGES = 256;
 
-    /** Limit of the body bytes buffered at this node; further requests are refused. */
-    private static final long MAX_BUFFERED_BYTES = 48L << 20;
+    /**
+     * Longest time for which the rest of a refused request is read. A connection that is closed
+     * with unread bytes is reset, and its caller may lose the refusal.
+     */
+    private static final long MAX_DISCARD_MILLIS = 1_000;
+
+    /** Least time after which a refused caller may try again; at most doubled at random. */
+    private static final double MIN_RETRY_AFTER_SECONDS = 0.25;
 
     /** Applies until a configuration is loaded. */
     private static final TrafficConfiguration.CallerLimits DEFAULT_LIMITS =
@@ -49,7 +57,7 @@
     private EntryExchange exchange;
     private HttpRequest head;
     private long headNanos;
-    private ByteBuf body;
+    private RequestBody body;
     private ScheduledFuture<?> timer;
     private boolean closing;
 
@@ -58,6 +66,9 @@
 
     private boolean headTimerRunning;
 
+    /** Whether a part of a pipelined request was dropped, because there was no memory for it. */
+    private boolean pipelineCut;
+
     EntryHandler(EntryService service) {
         this.service = service;
     }
@@ -79,15 +90,34 @@
         if (closing) {
             ReferenceCountUtil.release(message);
         } else if (exchange != null) {
-            pipelined.add(message);
-            if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
-                context.close();
-            }
+            enqueue(message);
         } else {
             handle(message);
         }
     }
 
+    private void enqueue(Object message) {
+        if (pipelineCut || !service.bodyMemory().reserve(bodyBytes(message))) {
+            pipelineCut = true;
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        pipelined.add(message);
+        if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
+            context.close();
+        }
+    }
+
+    private Object dequeue() {
+        Object message = pipelined.poll();
+        service.bodyMemory().release(bodyBytes(message));
+        return message;
+    }
+
+    private static int bodyBytes(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     /**
      * Tells the arrival of bytes, of which the decoder reports nothing until a head is complete.
      */
@@ -142,7 +172,16 @@
         head = request;
         headTimerRunning = false;
         headNanos = System.nanoTime();
-        body = context.alloc().buffer();
+        body = new RequestBody(service.bodyMemory(), context.alloc());
+        long length = HttpUtil.getContentLength(request, 0L);
+        if (length > limits().maxBodyBytes()) {
+            refuseWhileReading(RefusalReason.BODY_LIMIT);
+            return;
+        }
+        if (!body.reserve(length)) {
+            refuseWhileReading(RefusalReason.NODE_OVERLOADED);
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -156,16 +195,14 @@
 
     private void onContent(HttpContent content) {
         int size = content.content().readableBytes();
-        if (body.readableBytes() + size > limits().maxBodyBytes()) {
+        if (body.bytes().readableBytes() + size > limits().maxBodyBytes()) {
             refuseWhileReading(RefusalReason.BODY_LIMIT);
             return;
         }
-        if (service.bufferedBytes() + size > MAX_BUFFERED_BYTES) {
+        if (!body.append(content.content())) {
             refuseWhileReading(RefusalReason.NODE_OVERLOADED);
             return;
         }
-        service.addBufferedBytes(size);
-        body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             start();
         }
@@ -174,7 +211,7 @@
     private void start() {
         cancelTimer();
         HttpRequest request = head;
-        ByteBuf content = body;
+        RequestBody content = body;
         head = null;
         body = null;
         exchange = new EntryExchange(service, this, context, request, content, headNanos);
@@ -191,7 +228,10 @@
         }
         awaitRequest();
         while (exchange == null && !pipelined.isEmpty() && !closing) {
-            handle(pipelined.poll());
+            handle(dequeue());
+        }
+        if (pipelineCut && exchange == null && !closing) {
+            refuseWhileReading(RefusalReason.NODE_OVERLOADED);
         }
     }
 
@@ -242,7 +282,20 @@
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        if (reason.retryAfter()) {
+            double seconds = MIN_RETRY_AFTER_SECONDS * (1 + service.randomFraction());
+            response.headers()
+                    .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+        }
+        schedule(MAX_DISCARD_MILLIS, () -> context.close());
+        context.writeAndFlush(response).addListener(done -> endOutput());
+    }
+
+    /** Tells the caller that nothing follows; it closes the connection when it has read that. */
+    private void endOutput() {
+        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
+            socket.shutdownOutput();
+        }
     }
 
     private TrafficConfiguration.CallerLimits limits() {
@@ -263,7 +316,6 @@
 
     private void releaseBody() {
         if (body != null) {
-            service.addBufferedBytes(-body.readableBytes());
             body.release();
             body = null;
         }
@@ -283,8 +335,9 @@
         service.disconnected(this);
         cancelTimer();
         releaseBody();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        while (!pipelined.isEmpty()) {
+            ReferenceCountUtil.release(dequeue());
+        }
         if (exchange != null) {
             exchange.callerDisconnected();
         }
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -37,12 +37,12 @@
     private final HeaderNames names;
     private final Supplier<String> localService;
     private final BooleanSupplier localTargetRunsRetry;
+    private final BodyMemory bodyMemory;
     private final TrafficEvents events;
     private Optional<TrafficConfiguration> configuration = Optional.empty();
     private final Set<EntryHandler> connections = new HashSet<>();
     private Optional<StopSchedule> stop = Optional.empty();
     private int active;
-    private long bufferedBytes;
 
     /**
      * Creates the entry side.
@@ -56,6 +56,7 @@
      * @param localService name of the service beside this node
      * @param localTargetRunsRetry whether the target beside this node is running a retry
      * @param random source of the random order of targets and the jitter of retry times
+     * @param bodyMemory memory for the bodies of requests
      * @param events receives the outcomes
      */
     public EntryService(
@@ -68,6 +69,7 @@
             Supplier<String> localService,
             BooleanSupplier localTargetRunsRetry,
             SplittableRandom random,
+            BodyMemory bodyMemory,
             TrafficEvents events) {
         this.loop = loop;
         this.directory = directory;
@@ -79,6 +81,7 @@
         this.names = names;
         this.localService = localService;
         this.localTargetRunsRetry = localTargetRunsRetry;
+        this.bodyMemory = bodyMemory;
         this.events = events;
     }
 
@@ -229,12 +232,7 @@
         active--;
     }
 
-    /** Adds to the number of buffered body bytes; negative when a body is released. */
-    void addBufferedBytes(long bytes) {
-        bufferedBytes += bytes;
-    }
-
-    long bufferedBytes() {
-        return bufferedBytes;
+    BodyMemory bodyMemory() {
+        return bodyMemory;
     }
 }
--- a/src/main/java/org/azureshed/traffic/HostExchange.java
+++ b/src/main/java/org/azureshed/traffic/HostExchange.java
@@ -56,13 +56,17 @@
 
     private static final long MIN_HANG_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    /** Refusal of a request for whose body there is no memory. */
+    static final AdmissionDecision.Refused NO_MEMORY =
+            new AdmissionDecision.Refused(new HostRefusal(RefusalReason.NODE_OVERLOADED, 0, false));
+
     private final HostService service;
     private final ChannelHandlerContext context;
     private final HttpRequest request;
     private final OfferHeader offer;
     private final OfferedRequest offered;
     private final long startNanos = System.nanoTime();
-    private final ByteBuf body;
+    private final RequestBody body;
     private ClientConnection targetConnection;
     private ScheduledFuture<?> timer;
     private boolean bodyComplete;
@@ -92,7 +96,7 @@
         this.context = context;
         this.request = request;
         this.offer = offer;
-        this.body = context.alloc().buffer();
+        this.body = new RequestBody(service.bodyMemory(), context.alloc());
         this.offered =
                 new OfferedRequest(
                         service.newId(),
@@ -111,6 +115,11 @@
         return offered;
     }
 
+    /** Length of the body that the entry side has announced. */
+    int bodyBytes() {
+        return offer.bodyBytes();
+    }
+
     boolean done() {
         return done;
     }
@@ -132,6 +141,11 @@
         switch (decision) {
             case AdmissionDecision.Admitted ignored -> {
                 admittedOrQueued = true;
+                if (!body.reserve(offer.bodyBytes())) {
+                    // The memory was free when the request was queued.
+                    refuse(NO_MEMORY.refusal());
+                    return;
+                }
                 admitted = true;
                 writeInterim(HttpResponseStatus.CONTINUE);
                 schedule(RESERVATION_MILLIS, this::reservationExpired);
@@ -148,12 +162,12 @@
         if (done) {
             return;
         }
-        if (!service.reserveBodyBytes(part.readableBytes())) {
+        if (!body.append(part)) {
+            // Longer than announced, and perhaps without end.
+            refuse(NO_MEMORY.refusal());
             context.close();
-            finish("body-limit", RunResult.NEUTRAL);
             return;
         }
-        body.writeBytes(part);
         if (last && admitted) {
             bodyComplete = true;
             run();
@@ -215,11 +229,11 @@
         forwarded.headers().set(service.names().deadline(), left);
         forwarded.headers().set(service.names().expectedInstance(), offer.targetId());
         if (offer.hasBody()) {
-            forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.bytes().readableBytes());
         }
         sent = true;
         connection.write(forwarded);
-        connection.write(new DefaultLastHttpContent(body.retainedSlice()));
+        connection.write(new DefaultLastHttpContent(body.bytes().retainedSlice()));
         connection.flush();
     }
 
@@ -354,7 +368,7 @@
 
     private RequestFingerprint fingerprint() {
         return Fingerprints.of(
-                request.headers().get(service.names().callerService(), ""), request, body);
+                request.headers().get(service.names().callerService(), ""), request, body.bytes());
     }
 
     private void fail(String cause) {
@@ -447,7 +461,6 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        service.releaseBodyBytes(body.readableBytes());
         body.release();
         long now = System.nanoTime();
         long runNanos = runStartNanos == 0 ? 0 : now - runStartNanos;
--- a/src/main/java/org/azureshed/traffic/HostService.java
+++ b/src/main/java/org/azureshed/traffic/HostService.java
@@ -26,9 +26,6 @@
     /** Interval at which queued requests are checked for their deadlines. */
     private static final long EXPIRY_MILLIS = 50;
 
-    /** Limit of the bytes of all bodies that wait for a slot or for their end. */
-    private static final long MAX_BODY_BYTES = 48L << 20;
-
     /** Interval of checks for a mute target while requests run. */
     private static final long SILENCE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -38,6 +35,7 @@
     private final ConnectionPool targetConnections;
     private final Endpoint targetAddress;
     private final HeaderNames names;
+    private final BodyMemory bodyMemory;
     private final TrafficEvents events;
     private final Map<Long, HostExchange> exchanges = new HashMap<>();
     private final CrashEvidence crashEvidence = new CrashEvidence();
@@ -46,7 +44,6 @@
     private Optional<TargetEntry> published = Optional.empty();
     private Condition lastCondition = Condition.SERVING;
     private long nextId;
-    private long bodyBytes;
     private boolean expiryScheduled;
     private boolean silenceCheckScheduled;
     private long lastSilenceCheckNanos;
@@ -60,6 +57,7 @@
      * @param targetConnections connections to the local target
      * @param targetAddress endpoint of the local target
      * @param names headers that targets use
+     * @param bodyMemory memory for the bodies of requests
      * @param events receives the outcomes
      */
     public HostService(
@@ -69,6 +67,7 @@
             ConnectionPool targetConnections,
             Endpoint targetAddress,
             HeaderNames names,
+            BodyMemory bodyMemory,
             TrafficEvents events) {
         this.gate = gate;
         this.directory = directory;
@@ -76,6 +75,7 @@
         this.targetConnections = targetConnections;
         this.targetAddress = targetAddress;
         this.names = names;
+        this.bodyMemory = bodyMemory;
         this.events = events;
     }
 
@@ -173,22 +173,17 @@
 
     void offer(HostExchange exchange) {
         exchanges.put(exchange.offered().id(), exchange);
-        exchange.onDecision(gate.offer(exchange.offered(), System.nanoTime()));
+        // Before the gate, which would spend a slot and a part of the retry budget on it.
+        exchange.onDecision(
+                bodyMemory.fits(exchange.bodyBytes())
+                        ? gate.offer(exchange.offered(), System.nanoTime())
+                        : HostExchange.NO_MEMORY);
         scheduleExpiry();
         scheduleSilenceCheck();
     }
 
-    /** Reserves memory for a part of a body; false if all bodies together would be too large. */
-    boolean reserveBodyBytes(int bytes) {
-        if (bodyBytes + bytes > MAX_BODY_BYTES) {
-            return false;
-        }
-        bodyBytes += bytes;
-        return true;
-    }
-
-    void releaseBodyBytes(int bytes) {
-        bodyBytes -= bytes;
+    BodyMemory bodyMemory() {
+        return bodyMemory;
     }
 
     ClientConnection callTarget(long maxIdleNanos, String requestId, CallListener listener) {
--- a/src/main/java/org/azureshed/traffic/OfferHeader.java
+++ b/src/main/java/org/azureshed/traffic/OfferHeader.java
@@ -1,5 +1,7 @@
 package org.azureshed.traffic;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.google.common.base.Splitter;
 import java.util.Map;
 import org.azureshed.dispatch.OfferMode;
@@ -18,6 +20,7 @@
  * @param softDeadlineMillis time left until the soft deadline; negative once it has passed
  * @param leftMillis time left until the deadline
  * @param hasBody whether the caller sent a body, possibly an empty one
+ * @param bodyBytes length of the body in bytes; 0 if there is none or it is not known
  */
 record OfferHeader(
         String targetId,
@@ -29,7 +32,8 @@
         boolean retryInduced,
         long softDeadlineMillis,
         long leftMillis,
-        boolean hasBody) {
+        boolean hasBody,
+        int bodyBytes) {
     static final String NAME = "Azureshed-Offer";
 
     /** Formats the header. Keys are short, because every offer of every request carries it. */
@@ -53,7 +57,9 @@
                 + ";l="
                 + leftMillis
                 + ";b="
-                + bit(hasBody);
+                + bit(hasBody)
+                + ";s="
+                + bodyBytes;
     }
 
     /**
@@ -73,7 +79,15 @@
                 part(parts, "d").equals("1"),
                 Long.parseLong(part(parts, "u")),
                 Long.parseLong(part(parts, "l")),
-                part(parts, "b").equals("1"));
+                part(parts, "b").equals("1"),
+                bodyBytes(parts));
+    }
+
+    /** Nodes of an earlier version do not name the length; room is then made as bytes arrive. */
+    private static int bodyBytes(Map<String, String> parts) {
+        int bytes = Integer.parseInt(parts.getOrDefault("s", "0"));
+        checkArgument(bytes >= 0, "negative length of the body: %s", bytes);
+        return bytes;
     }
 
     private static char bit(boolean value) {
--- a/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
+++ b/src/test/java/org/azureshed/platform/SettingsDecoderTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a node that starts with wrongly decoded or incomplete settings. */
 class SettingsDecoderTest {
@@ -48,6 +49,32 @@
         assertTrue(settings.firstStart());
     }
 
+    /** Guards against bodies that take more memory than the process has. */
+    @ParameterizedTest(name = "{0}: {1} bytes")
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '\0',
+            value = {
+                "\"unknown\"|33554432",
+                "\"limits\":null,\"unknown\"|33554432",
+                "\"limits\":{\"memoryMb\":430},\"unknown\"|43000000",
+                "\"limits\":{\"memoryMb\":64.5},\"unknown\"|6450000"
+            })
+    void memoryForBodiesFollowsTheMemoryLimit(String field, long expected) throws Exception {
+        assertEquals(expected, read(VALID.replace("\"unknown\"", field)).bodyMemoryBytes());
+    }
+
+    /** Guards against a bound of which nobody knows that it is wrong until bodies are refused. */
+    @ParameterizedTest
+    @ValueSource(strings = {"0", "0.5", "-430", "\"430\"", "true"})
+    void unusableMemoryLimitIsRefused(String memoryMb) {
+        String text =
+                VALID.replace("\"unknown\"", "\"limits\":{\"memoryMb\":" + memoryMb + "},\"x\"");
+        IllegalArgumentException error =
+                assertThrows(IllegalArgumentException.class, () -> read(text));
+        assertTrue(error.getMessage().contains("memory"), error.getMessage());
+    }
+
     /** Guards against a node behind NAT that advertises an address other nodes cannot reach. */
     @Test
     void advertisedAddressComesFromTheEnvironment() throws Exception {
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -42,6 +42,7 @@
     final List<TargetStandIn> targets = new ArrayList<>();
     final List<SidecarNode> nodes = new ArrayList<>();
     private final int network = NEXT_NETWORK.getAndIncrement();
+    private final long bodyMemoryBytes;
     private final AtomicLong sequence = new AtomicLong();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
 
@@ -49,6 +50,12 @@
      * Starts one node per service and waits until all are ready; node i has a target of service i.
      */
     SidecarFleet(String... services) throws Exception {
+        this(SidecarSettings.DEFAULT_BODY_MEMORY_BYTES, services);
+    }
+
+    /** Starts nodes with the given bound on the memory for bodies, in bytes. */
+    SidecarFleet(long bodyMemoryBytes, String... services) throws Exception {
+        this.bodyMemoryBytes = bodyMemoryBytes;
         store = new StoreStandIn("127.0.0.1", 0);
         store.put("config", "main", configuration(1));
         for (int i = 0; i < services.length; i++) {
@@ -133,6 +140,7 @@
                         0.2,
                         60,
                         10,
+                        bodyMemoryBytes,
                         firstStart);
         DecisionLog log = new DecisionLog(logOutput, settings.node());
         SidecarNode node =
--- a/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
@@ -64,6 +64,10 @@
     static final String RUN = "X-Run";
 
     static final long LEFT_MILLIS = 4_000;
+
+    /** Room for the largest body of a test. */
+    private static final long BODY_BYTES = 64L << 20;
+
     private static final int SLOTS = 16;
 
     /** Time for which a connection that held bytes of no answer may be silent. */
@@ -210,6 +214,7 @@
                         pool,
                         new Endpoint("127.0.0.1", server.getLocalPort()),
                         NAMES,
+                        new BodyMemory(BODY_BYTES),
                         events);
         service.apply(Optional.of(new TargetEntry("i", 1, "shop", SLOTS, Condition.SERVING)));
         boolean hasBody = method.equals(HttpMethod.POST);
@@ -224,7 +229,8 @@
                         false,
                         LEFT_MILLIS,
                         LEFT_MILLIS,
-                        hasBody);
+                        hasBody,
+                        body.length());
         DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/a");
         request.headers()
                 .set(OfferHeader.NAME, offer.encode())
