--- a/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -99,13 +99,16 @@
     }
 
     /** An answer has two kinds of framing. One of them belongs to another answer. */
-    @Test
-    void answerWithTwoFramingsIsNotBelieved() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1", "HTTP/1.0"})
+    void answerWithTwoFramingsIsNotBelieved(String version) throws Exception {
         String chunks = "3\r\nRUN\r\n0\r\n\r\n";
         bench.begin(
                 (connection, run, id) -> {
                     String framings = "Transfer-Encoding: chunked\r\nContent-Length: 13";
-                    String head = ANSWER.replace("Content-Length: 3", framings);
+                    String head =
+                            ANSWER.replace("HTTP/1.1", version)
+                                    .replace("Content-Length: 3", framings);
                     connection.write(fill(head.substring(0, head.length() - 3) + chunks, run, id));
                     return true;
                 });
