End a run at once if its target switches protocols

Runs ended only at their deadline and held their slot, if the target sent 101 before its answer: the decoder reads no message after a switch, and nothing noticed it. No request of a node asks for one.

Evidence: switchOfProtocolsEndsTheRun, 2 of 2 cases failed before (4,121 and 4,123 ms), both pass now.

--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -317,7 +318,9 @@
         cancelDiscardTimer();
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             interimResponses++;
-            if (interimResponses > MAX_INTERIM_RESPONSES) {
+            // No request asks for another protocol; the decoder reads no message after the switch.
+            boolean switches = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            if (switches || interimResponses > MAX_INTERIM_RESPONSES) {
                 fail(CallFailure.MALFORMED);
             } else {
                 listener.informational(response.status().code());
--- a/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -303,6 +303,24 @@
         assertTrue(result.millis() < MAX_MILLIS, result::toString);
     }
 
+    /**
+     * A target switches to another protocol, which no request asks for. What follows is no HTTP to
+     * the decoder, so the run ends at once and not at its deadline.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Upgrade: x\r\nConnection: upgrade\r\n"})
+    void switchOfProtocolsEndsTheRun(String headers) throws Exception {
+        String interim = "HTTP/1.1 101 Switching Protocols\r\n" + headers + "\r\n";
+        bench.begin(
+                (connection, run, id) -> {
+                    connection.write(interim + fill(ANSWER, run, id));
+                    return true;
+                });
+        Result result = call("r-1", "id-1");
+        assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+        assertTrue(result.millis() < MAX_MILLIS, result::toString);
+    }
+
     /** A copy that stops in its body swallows the answer behind it. The run ends soon. */
     @Test
     void answerInsideAnUnfinishedCopyEndsTheRun() throws Exception {
