Keep the soak's plans of earlier seeds beside the new failure

The new kind of target failure changed which kind each earlier seed draws, so that the seeds kept as regression cases would no longer have played what failed. It is now drawn beside the plan, one failure in four, and replaces the drawn kind; all else of a plan is as before the new kind.

--- a/src/test/java/org/azureshed/process/SoakPlan.java
+++ b/src/test/java/org/azureshed/process/SoakPlan.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 import org.azureshed.platform.standin.StoreStandIn;
 
 /**
@@ -16,6 +17,15 @@
 
     private static final int MAX_FAULTS_PER_SERIES = 4;
     private static final int KIND_COUNT = 15;
+
+    /** Share of the failures of targets that are copies, as one in this number. */
+    private static final int COPIES_ONE_IN = 4;
+
+    private static final List<SoakFault.TargetFailureKind> OTHER_TARGET_FAILURES =
+            Stream.of(SoakFault.TargetFailureKind.values())
+                    .filter(kind -> kind != SoakFault.TargetFailureKind.COPIES)
+                    .toList();
+
     private static final long MAX_GAP_MILLIS = 1_200;
     private static final StoreStandIn.Fault[] STORE_FAULTS = {
         StoreStandIn.Fault.BUSY,
@@ -89,8 +99,13 @@
     }
 
     private static SoakFault targetFailure(int node, SplittableRandom random, long millis) {
-        SoakFault.TargetFailureKind[] kinds = SoakFault.TargetFailureKind.values();
-        SoakFault.TargetFailureKind kind = kinds[random.nextInt(kinds.length)];
-        return new SoakFault.TargetFailure(node, kind, 0.05 + 0.95 * random.nextDouble(), millis);
+        List<SoakFault.TargetFailureKind> kinds = OTHER_TARGET_FAILURES;
+        SoakFault.TargetFailureKind drawn = kinds.get(random.nextInt(kinds.size()));
+        double probability = 0.05 + 0.95 * random.nextDouble();
+        // Drawn beside the plan, so that seeds that failed before keep the rest of theirs.
+        SplittableRandom beside = new SplittableRandom(Double.doubleToLongBits(probability));
+        boolean copies = beside.nextInt(COPIES_ONE_IN) == 0;
+        return new SoakFault.TargetFailure(
+                node, copies ? SoakFault.TargetFailureKind.COPIES : drawn, probability, millis);
     }
 }
