Show that a download is completed over a planned stop

A first form with 12 MB failed for the host node in its own check that the stop still waits after 3 s, where the rest may already wait in socket buffers; the check now covers 1.5 s of 48 MB, and the log shows the request under way at the stop.

The other path, all nodes of a zone stopped at once under load, has no test yet.

--- a/src/test/java/org/azureshed/platform/PlannedStopTest.java
+++ b/src/test/java/org/azureshed/platform/PlannedStopTest.java
@@ -1,9 +1,12 @@
 package org.azureshed.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Checks callers of a node that is told to stop and whose grace period is 6 s. Work that has begun
@@ -170,6 +174,52 @@
         }
     }
 
+    /**
+     * Guards against a download, larger than a node holds, that ends early because its entry node
+     * (0) or the node beside its target (1) stops while a slow caller reads.
+     */
+    @ParameterizedTest(name = "node {0} stops")
+    @ValueSource(ints = {0, 1})
+    void downloadIsCompletedOverAStop(int stopped) throws Exception {
+        String body = "x".repeat(48_000_000);
+        try (SidecarFleet fleet = new SidecarFleet("other", "shop");
+                ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
+                Socket caller = new Socket()) {
+            fleet.targets.forEach(
+                    target -> target.behaviour(request -> new Behaviour.Answer(200, 0, body)));
+            caller.setReceiveBufferSize(32 << 10);
+            caller.connect(new InetSocketAddress(fleet.ip(0), SidecarFleet.ENTRY_PORT));
+            caller.setSoTimeout(5_000);
+            String head =
+                    "GET /long/a HTTP/1.1\r\nHost: "
+                            + ProtocolRequests.HOST
+                            + "\r\nX-Azureshed-Request-Id: download\r\nX-Azureshed-Deadline-Ms: 20000"
+                            + "\r\nConnection: close\r\n\r\n";
+            caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = caller.getInputStream();
+            long received = in.readNBytes(100_000).length;
+            final Future<?> stop = callers.submit(() -> fleet.nodes.get(stopped).stop());
+            // Three seconds, so that the stop waits for the download.
+            for (int i = 0; i < 30; i++) {
+                // Later the rest may have left the node and wait in buffers of sockets.
+                assertFalse(i < 15 && stop.isDone(), fleet::log);
+                byte[] part = in.readNBytes(body.length() / 40);
+                received += part.length;
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            byte[] last = in.readAllBytes();
+            received += last.length;
+            long all = received;
+            assertTrue(all > body.length(), () -> all + " bytes\n" + fleet.log());
+            String end = new String(last, StandardCharsets.US_ASCII);
+            assertTrue(end.endsWith("\r\n0\r\n\r\n"), fleet::log);
+            stop.get();
+            String underWay =
+                    "node=node-" + stopped + (stopped == 0 ? " active=1" : " active=0 hosted=1");
+            assertTrue(fleet.log().contains("event=stopping " + underWay), fleet::log);
+        }
+    }
+
     private static long readToEnd(Socket caller) throws IOException {
         byte[] buffer = new byte[64 << 10];
         long received = 0;
