--- a/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamBench.java
@@ -51,12 +51,12 @@
 final class ResponseStreamBench implements AutoCloseable {
     static final HeaderNames NAMES =
             new HeaderNames(
-                    "X-Azureshed-Request-Id",
-                    "X-Azureshed-Deadline",
-                    "X-Azureshed-Response-Signature",
-                    "X-Azureshed-Expected-Instance",
-                    "X-Azureshed-Not-Executed",
-                    "X-Azureshed-Caller-Service");
+                    "X-Request-Id",
+                    "X-Deadline",
+                    "X-Signature",
+                    "X-Expected",
+                    "X-Not-Executed",
+                    "X-Caller");
 
     /**
      * Header that names the run, in requests and answers; it differs also if identifiers repeat.
--- a/src/test/java/org/azureshed/traffic/ResponseStreamPropertyTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamPropertyTest.java
@@ -86,10 +86,10 @@
             List<String> lines = new ArrayList<>();
             lines.add("Content-Type: text/plain");
             lines.add(ResponseStreamBench.RUN + ": " + run);
-            lines.add("X-Azureshed-Request-Id: " + id);
-            lines.add("X-Azureshed-Response-Signature: s." + id);
+            lines.add("X-Request-Id: " + id);
+            lines.add("X-Signature: s." + id);
             if (!runs()) {
-                lines.add("X-Azureshed-Not-Executed: 1");
+                lines.add("X-Not-Executed: 1");
             }
             if (status != 204 && status != 304) {
                 int length = run.length() + 1 + bodyLength;
--- a/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -28,8 +28,8 @@
     private static final long READ_MILLIS = 30;
 
     private static final String HEADERS =
-            "X-Azureshed-Request-Id: ID\r\n"
-                    + "X-Azureshed-Response-Signature: s\r\n"
+            "X-Request-Id: ID\r\n"
+                    + "X-Signature: s\r\n"
                     + "X-Run: RUN\r\nContent-Length: 3\r\n\r\nRUN";
 
     private static final String ANSWER = "HTTP/1.1 200 Status\r\n" + HEADERS;
@@ -75,17 +75,16 @@
                 "HTTP/1.1 STATUS Status\r\nMARKContent-TyHTTP/1.1 500 Status: x\r\n",
                 "HTTP/1.1 STATUS Status\r\nMARKHTTP/1.1 500 Status: x\r\n",
                 "HTTP/1.1 STATUS Status\r\nMARKHTTP/1.1 500 Status\r\n",
-                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Request-Id: ID\r\n",
-                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Request-Id: other\r\n",
-                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Response-Signature: s\r\n",
-                "HTTP/1.1 STATUS Status\r\nMARKX-Azureshed-Not-Executed: 1\r\n"
-                        + "X-Azureshed-Not-Executed: 1\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Request-Id: ID\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Request-Id: other\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Signature: s\r\n",
+                "HTTP/1.1 STATUS Status\r\nMARKX-Not-Executed: 1\r\n" + "X-Not-Executed: 1\r\n",
                 "HTTP/1.1 STATUS Status\r\nMARKTransfer-Encoding: chunked\r\n",
                 "HTTP/1.1 STATUS Status\r\nMARKContent-Length: 4\r\n"
             })
     void headOfTwoAnswersIsNotBelieved(String template) throws Exception {
         for (String status : new String[] {"200", "503"}) {
-            String mark = status.equals("503") ? "X-Azureshed-Not-Executed: 1\r\n" : "";
+            String mark = status.equals("503") ? "X-Not-Executed: 1\r\n" : "";
             String head = template.replace("STATUS", status).replace("MARK", mark);
             bench.begin(
                     (connection, run, id) -> {
