--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -32,7 +32,12 @@
     private static final long WAIT_SECONDS = 15;
 
     /** Third address byte, one per fleet: sockets left by an earlier fleet cannot interfere. */
-    private static final AtomicInteger NEXT_NETWORK = new AtomicInteger(10);
+    private static final int FIRST_NETWORK = 10;
+
+    /** Networks are used again after this many fleets, when no socket is left on them. */
+    private static final int NETWORK_COUNT = 240;
+
+    private static final AtomicInteger FLEETS = new AtomicInteger();
 
     /** Second address byte, from the process id: separates concurrent builds on one machine. */
     private static final long PROCESS_NETWORK = 20 + ProcessHandle.current().pid() % 200;
@@ -41,7 +46,7 @@
     final HttpClient client = HttpClient.newHttpClient();
     final List<TargetStandIn> targets = new ArrayList<>();
     final List<SidecarNode> nodes = new ArrayList<>();
-    private final int network = NEXT_NETWORK.getAndIncrement();
+    private final int network = FIRST_NETWORK + FLEETS.getAndIncrement() % NETWORK_COUNT;
     private final long bodyMemoryBytes;
     private final AtomicLong sequence = new AtomicLong();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
