Reject a head whose first line is no status line

Ruled out: that checks of the decoded status suffice, as 0200 and HTTP/2.0 leave no trace there.

A malformed head is a malformed response as before: 502 or another try.

--- a/src/main/java/org/azureshed/cli/FleetStatus.java
+++ b/src/main/java/org/azureshed/cli/FleetStatus.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
@@ -14,6 +15,7 @@
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
+import org.azureshed.http.CleanConnectionFactory;
 
 /** Queries nodes for the activation number of the preset that they apply. */
 final class FleetStatus {
@@ -66,6 +68,7 @@
         return HttpClients.custom()
                 .setConnectionManager(
                         PoolingHttpClientConnectionManagerBuilder.create()
+                                .setConnectionFactory(new CleanConnectionFactory(Duration.ZERO))
                                 .setDefaultConnectionConfig(
                                         ConnectionConfig.custom()
                                                 .setConnectTimeout(TIMEOUT)
--- a/src/main/java/org/azureshed/http/ResponseParsers.java
+++ b/src/main/java/org/azureshed/http/ResponseParsers.java
@@ -6,20 +6,40 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.HttpMessageParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.http.message.LazyLaxLineParser;
+import org.apache.hc.core5.http.message.StatusLine;
+import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
  * Parses the response heads of one connection, rejects those put together from two, and tells
  * whether received bytes are left.
  */
 final class ResponseParsers implements HttpMessageParserFactory<ClassicHttpResponse> {
+    private static final HttpMessageParserFactory<ClassicHttpResponse> STRICT =
+            new DefaultHttpResponseParserFactory(
+                    new StrictLineParser(), DefaultClassicHttpResponseFactory.INSTANCE);
+
     private volatile SessionInputBuffer buffer;
 
+    /** Rejects a first line that the library would read as some other status line. */
+    private static final class StrictLineParser extends LazyLaxLineParser {
+        @Override
+        public StatusLine parseStatusLine(CharArrayBuffer line) throws ParseException {
+            if (!HeadLines.isStatusLine(line.toString())) {
+                throw new ParseException("no status line");
+            }
+            return super.parseStatusLine(line);
+        }
+    }
+
     /** Whether received bytes are not parsed yet. */
     boolean bytesLeft() {
         SessionInputBuffer parsed = buffer;
@@ -28,8 +48,7 @@
 
     @Override
     public HttpMessageParser<ClassicHttpResponse> create(Http1Config config) {
-        HttpMessageParser<ClassicHttpResponse> parser =
-                DefaultHttpResponseParserFactory.INSTANCE.create(config);
+        HttpMessageParser<ClassicHttpResponse> parser = STRICT.create(config);
         return (SessionInputBuffer input, InputStream stream) -> {
             buffer = input;
             return checked(parser, input, stream);
--- a/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
+++ b/src/test/java/org/azureshed/traffic/ResponseStreamTest.java
@@ -97,6 +97,65 @@
         }
     }
 
+    /**
+     * Guards against a first line that is no status line and is passed on, or becomes another
+     * status, as the target's answer.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 1000 X",
+                "HTTP/1.1 2000 X",
+                "HTTP/1.1 0200 X",
+                "HTTP/1.1 099 X",
+                "HTTP/1.1 000 X",
+                "HTTP/1.1 20 X",
+                "HTTP/1.1 20 0",
+                "HTTP/1.1 +20 X",
+                "HTTP/1.1 +200 X",
+                "HTTP/1.1 600 X",
+                "HTTP/1.1 999 X",
+                "HTTP/1.1  200 X",
+                "HTTP/1.1\t200 X",
+                "HTTP/2.0 200 X",
+                "HTTP/1.10 200 X",
+                "HTTP/01.1 200 X",
+                " HTTP/1.1 200 X",
+                "\0HTTP/1.1 200 X",
+                "\r\nHTTP/1.1 200 X",
+                "HTTP/1.1 200 a\0b",
+                "HTTP/1.1 200 a\rb",
+            })
+    void oddFirstLineIsNotBelieved(String line) throws Exception {
+        bench.begin(
+                (connection, run, id) -> {
+                    connection.write(fill(line + "\r\n" + HEADERS, run, id));
+                    return true;
+                });
+        Result result = call("r-1", "id-1");
+        assertEquals(OutcomeHeaders.UNKNOWN, result.outcome(), result::toString);
+        assertTrue(result.millis() < MAX_MILLIS, result::toString);
+    }
+
+    /** Guards against a check of first lines that rejects sound ones. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 ",
+                "HTTP/1.0 404 Not Found",
+                "HTTP/1.1 599 \u00e9t\u00e9",
+                "HTTP/1.1 500 a\tb"
+            })
+    void soundFirstLineIsBelieved(String line) throws Exception {
+        bench.begin(
+                (connection, run, id) -> {
+                    connection.write(fill(line + "\r\n" + HEADERS, run, id));
+                    return true;
+                });
+        assertOwn("r-1", call("r-1", "id-1"));
+    }
+
     /** An answer has two kinds of framing. One of them belongs to another answer. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1", "HTTP/1.0"})
