Use a restarted node's target from its next heartbeat on

Cause, the same for both: a process that starts took the target in its former entry for one that is there, though the entry may be older than an acknowledged departure.

TargetRegister.learn takes only departures from the published target. A departed target sends no heartbeat, so nothing that was lost with the processes is needed to keep it unused. The price is up to one heartbeat interval without the target after each restart.

--- a/src/main/java/org/azureshed/directory/OwnEntry.java
+++ b/src/main/java/org/azureshed/directory/OwnEntry.java
@@ -8,8 +8,8 @@
  * The directory entry of this node, as its current process publishes it. Not thread-safe.
  *
  * <p>Entries of the same name that come from elsewhere are news of an earlier process: its
- * departures hold for good, its target is used until the next heartbeat, and its incarnation must
- * be exceeded so that the other nodes accept the current entry.
+ * departures hold for good, and its incarnation must be exceeded so that the other nodes accept the
+ * current entry.
  */
 public final class OwnEntry {
     private NodeEntry entry;
--- a/src/main/java/org/azureshed/directory/TargetRegister.java
+++ b/src/main/java/org/azureshed/directory/TargetRegister.java
@@ -11,7 +11,8 @@
  *
  * <p>A start departs when it reports that it is draining or deregisters. This is final: the same
  * start is not used again, neither by this process nor by a later one that adopts the {@link
- * #departures()}. Only a later start, or another id, ends it.
+ * #departures()}. Only a later start, or another id, ends it. A target is used from its first
+ * heartbeat to this process on.
  */
 public final class TargetRegister {
     private final Endpoint localAddress;
@@ -117,35 +118,16 @@
     }
 
     /**
-     * Restores the target that this node published before it restarted. A departed target stays
-     * departed; a usable one receives requests again before its next heartbeat. One that was only
-     * silent is used again from its next heartbeat on.
+     * Learns from the target that an earlier process of this node published. A leaving target has
+     * departed. That one was usable tells nothing: it may have departed since, and this process may
+     * never hear of that. Only a heartbeat shows that a target is there.
      *
-     * @param entry the published target
-     * @param nowNanos current time
-     * @return true if the entry is now the current target
+     * @param published the published target
      */
-    public boolean restore(TargetEntry entry, long nowNanos) {
-        if (entry.condition() == Condition.LEAVING) {
-            departures = departures.with(entry.id(), entry.startMillis());
-        }
-        if (latest != null
-                || !entry.condition().usable()
-                || departures.covers(entry.id(), entry.startMillis())) {
-            return false;
+    public void learn(TargetEntry published) {
+        if (published.condition() == Condition.LEAVING) {
+            departures = departures.with(published.id(), published.startMillis());
         }
-        latest =
-                new Heartbeat(
-                        entry.id(),
-                        entry.startMillis(),
-                        Long.MIN_VALUE,
-                        localAddress,
-                        entry.service(),
-                        entry.slots(),
-                        TargetState.READY,
-                        0);
-        lastHeartbeatNanos = nowNanos;
-        return true;
     }
 
     /**
--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -123,6 +124,17 @@
         put(kind, name, json.getNodeFactory().rawValueNode(new RawValue(content)));
     }
 
+    /**
+     * Returns the content of an object.
+     *
+     * @param kind kind of the object
+     * @param name name, unique within the kind
+     * @return value of the object's field {@code specification}, or empty if there is no object
+     */
+    public Optional<JsonNode> content(String kind, String name) {
+        return Optional.ofNullable(find(kind, name)).map(object -> object.path("specification"));
+    }
+
     /** Drops the change history. Watches from an earlier revision get 410 and must list again. */
     public synchronized void dropHistory() {
         revision++;
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -17,8 +17,10 @@
 /**
  * Tracks the target beside this node by its heartbeats and acknowledges them. A departure, or a
  * heartbeat of a draining target, is acknowledged once the gate is closed and the new state is
- * stored, so that a restarted process does not open the gate again, but after {@link
- * #MAX_STORE_WAIT_MILLIS} at the latest.
+ * stored, but after {@link #MAX_STORE_WAIT_MILLIS} at the latest.
+ *
+ * <p>A restarted process uses its target from the next heartbeat on, whatever it finds in the store
+ * or hears from other nodes: the departure may have been acknowledged while neither could be told.
  */
 final class LocalTarget implements TargetListener {
     /**
@@ -73,17 +75,10 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Restores the target entry that a previous process of this node had published. */
-    void restore(TargetEntry entry) {
-        boolean known = register.restore(entry, System.nanoTime());
-        log.write(
-                "target_restored",
-                "target",
-                entry.id(),
-                "condition",
-                entry.condition(),
-                "served",
-                known);
+    /** Learns from the target entry that a previous process of this node had published. */
+    void learn(TargetEntry former) {
+        register.learn(former);
+        log.write("former_target", "target", former.id(), "condition", former.condition());
         apply();
     }
 
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -163,7 +163,7 @@
                         store, loop, configuration, random.split(), unusable, metrics, log);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
-        fleet.onPrevious(target::restore, target::adopt);
+        fleet.onPrevious(target::learn, target::adopt);
     }
 
     private RetryBudgetShare retryBudgetShare() {
--- a/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
+++ b/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
@@ -39,9 +39,12 @@
                         Tuple.of(2, DepartureModel.Step.NEW_START),
                         Tuple.of(1, DepartureModel.Step.NEW_TARGET),
                         Tuple.of(4, DepartureModel.Step.RESTART),
+                        Tuple.of(2, DepartureModel.Step.RESTART_ALL),
                         Tuple.of(2, DepartureModel.Step.STORE_AWAY),
                         Tuple.of(2, DepartureModel.Step.STORE_BACK),
                         Tuple.of(3, DepartureModel.Step.READ_STORE),
+                        Tuple.of(2, DepartureModel.Step.HOLD_WRITE),
+                        Tuple.of(2, DepartureModel.Step.DO_LATE_WRITE),
                         Tuple.of(3, DepartureModel.Step.SEND_TO_FIRST),
                         Tuple.of(3, DepartureModel.Step.SEND_TO_SECOND),
                         Tuple.of(3, DepartureModel.Step.EXCHANGE_WITH_FIRST),
@@ -86,6 +89,7 @@
                         DepartureModel.Step.HEARTBEAT,
                         DepartureModel.Step.STORE_AWAY,
                         DepartureModel.Step.DEREGISTER,
+                        DepartureModel.Step.SEND_TO_FIRST,
                         DepartureModel.Step.RESTART,
                         DepartureModel.Step.STORE_BACK,
                         DepartureModel.Step.READ_STORE,
@@ -93,6 +97,32 @@
                         DepartureModel.Step.EXCHANGE_OF_OTHERS));
     }
 
+    /** A write of the node's entry is done late, after the one that stored the departure. */
+    @Example
+    void lateWriteDoesNotUndoADeparture() {
+        departedStartIsNeverUsedAgain(
+                List.of(
+                        DepartureModel.Step.HOLD_WRITE,
+                        DepartureModel.Step.HEARTBEAT,
+                        DepartureModel.Step.DEREGISTER,
+                        DepartureModel.Step.DO_LATE_WRITE,
+                        DepartureModel.Step.RESTART_ALL,
+                        DepartureModel.Step.READ_STORE));
+    }
+
+    /** A departure is acknowledged while the store is away, and all processes end. */
+    @Example
+    void departureThatNothingRemembersHolds() {
+        departedStartIsNeverUsedAgain(
+                List.of(
+                        DepartureModel.Step.HEARTBEAT,
+                        DepartureModel.Step.STORE_AWAY,
+                        DepartureModel.Step.DEREGISTER,
+                        DepartureModel.Step.RESTART_ALL,
+                        DepartureModel.Step.STORE_BACK,
+                        DepartureModel.Step.READ_STORE));
+    }
+
     /** The register forgets the oldest starts first, in whichever order departures arrive. */
     @Property
     void unionDoesNotDependOnTheOrder(@ForAll List<Integer> starts) {
--- a/src/test/java/org/azureshed/platform/DepartureTest.java
+++ b/src/test/java/org/azureshed/platform/DepartureTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.azureshed.platform.standin.StoreStandIn;
+import org.azureshed.sidecar.SidecarNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,10 +36,60 @@
             assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", newStart));
             SidecarFleet.await("the new start serves", () -> served(fleet, 0));
             restart(fleet);
+            assertEquals(200, fleet.heartbeat(LEAVING, "shop", "ready", newStart));
             SidecarFleet.await("it serves after a restart", () -> served(fleet, 0));
         }
     }
 
+    /**
+     * Guards against a departure that is undone by a write of the node's entry which got no answer
+     * and is done late: all processes end, and the new ones believe the entry that it left.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"DELETE", "draining"})
+    void departureErasedFromTheStoreHolds(String announcement) throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            JsonNode former = fleet.store.content("azureshed-nodes", "node-1").orElseThrow();
+            assertEquals("SERVING", former.path("target").path("condition").asText());
+            assertEquals(200, leave(fleet, announcement));
+            killAll(fleet);
+            fleet.store.put("azureshed-nodes", "node-1", former);
+            startAll(fleet);
+            assertUnused(fleet);
+        }
+    }
+
+    /**
+     * Guards against a departure that was acknowledged while the store was away and is lost with
+     * the processes.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"DELETE", "draining"})
+    void departureThatNothingRemembersHolds(String announcement) throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
+            fleet.store.fault(StoreStandIn.Fault.BUSY);
+            assertEquals(200, leave(fleet, announcement));
+            killAll(fleet);
+            fleet.store.fault(StoreStandIn.Fault.NONE);
+            startAll(fleet);
+            assertUnused(fleet);
+        }
+    }
+
+    private static void killAll(SidecarFleet fleet) {
+        fleet.nodes.forEach(SidecarNode::close);
+        fleet.nodes.clear();
+    }
+
+    private static void startAll(SidecarFleet fleet) throws Exception {
+        for (int node : List.of(0, LEAVING)) {
+            fleet.start(node, "shop", false);
+        }
+        for (int node : List.of(0, LEAVING)) {
+            SidecarFleet.await("node " + node + " is back", () -> fleet.ready(node));
+        }
+    }
+
     /**
      * Guards against a new process that acknowledges a departure, but does not keep it because it
      * has had no heartbeat that names the start.
