Take an answer without a length for whole only after its request

Cause: a reset that a pending write meets is reported to that write only, so that the end of the connection passed for the end of the answer. Such an answer is now truncated unless its request was written to the end.

Evidence: EarlyAnswerTest#answerThatIsResetWhileTheBodyIsWrittenIsNotDelivered got 200 before and gets 502; the tests of cut answers, copies until close and byte streams pass.

--- a/src/main/java/org/azureshed/traffic/ClientConnection.java
+++ b/src/main/java/org/azureshed/traffic/ClientConnection.java
@@ -345,7 +345,9 @@
             cancelDiscardTimer();
             return;
         }
-        if (connectionReset) {
+        if (connectionReset || !requestWritten && !open()) {
+            // Netty reports a reset that a write meets only as the failure of that write. Without
+            // a length, such an answer ends like a complete one.
             fail(CallFailure.TRUNCATED);
             return;
         }
--- a/src/test/java/org/azureshed/platform/EarlyAnswerTest.java
+++ b/src/test/java/org/azureshed/platform/EarlyAnswerTest.java
@@ -11,10 +11,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.azureshed.platform.standin.ProtocolRequests;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -22,6 +24,11 @@
 class EarlyAnswerTest {
     private static final String ID = "long-body";
 
+    private static final String ANSWER_HEAD =
+            "HTTP/1.1 200 OK\r\nX-Azureshed-Request-Id: "
+                    + ID
+                    + "\r\nX-Azureshed-Response-Signature: s\r\n";
+
     /** More than the socket buffers of both ends hold. */
     private static final int BODY_BYTES = 12_000_000;
 
@@ -34,21 +41,49 @@
             allowLongBodies(fleet);
             fleet.targets.getFirst().close();
             bind(server, new InetSocketAddress(fleet.ip(0), SidecarFleet.TARGET_PORT));
-            Thread.startVirtualThread(() -> accept(server, status));
-            HttpResponse<String> response =
-                    ProtocolRequests.request(
-                            fleet.client,
-                            "POST",
-                            fleet.address(0, SidecarFleet.ENTRY_PORT),
-                            "/write/a",
-                            "x".repeat(BODY_BYTES),
-                            ID,
-                            5_000);
+            Thread.startVirtualThread(
+                    () -> accept(server, socket -> answerBeforeTheBody(socket, status)));
+            HttpResponse<String> response = sendLongBody(fleet);
             assertEquals(status, response.statusCode(), fleet::log);
             assertEquals("ok", response.body());
         }
     }
 
+    /**
+     * Guards against a reset that is met by a write of the request's body, and leaves an answer
+     * without a length looking complete.
+     */
+    @Test
+    void answerThatIsResetWhileTheBodyIsWrittenIsNotDelivered() throws Exception {
+        try (SidecarFleet fleet = new SidecarFleet("shop");
+                ServerSocket server = new ServerSocket()) {
+            allowLongBodies(fleet);
+            fleet.targets.getFirst().close();
+            bind(server, new InetSocketAddress(fleet.ip(0), SidecarFleet.TARGET_PORT));
+            Thread.startVirtualThread(() -> accept(server, EarlyAnswerTest::resetWithinTheAnswer));
+            HttpResponse<String> response = sendLongBody(fleet);
+            assertEquals(502, response.statusCode(), fleet::log);
+        }
+    }
+
+    private static void resetWithinTheAnswer(Socket socket)
+            throws IOException, InterruptedException {
+        write(socket.getOutputStream(), ANSWER_HEAD + "\r\na part");
+        Thread.sleep(200);
+        socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+    }
+
+    private static HttpResponse<String> sendLongBody(SidecarFleet fleet) throws Exception {
+        return ProtocolRequests.request(
+                fleet.client,
+                "POST",
+                fleet.address(0, SidecarFleet.ENTRY_PORT),
+                "/write/a",
+                "x".repeat(BODY_BYTES),
+                ID,
+                5_000);
+    }
+
     private static void allowLongBodies(SidecarFleet fleet) throws Exception {
         ObjectNode configuration = SidecarFleet.configuration(2);
         for (JsonNode resource : configuration.path("resources")) {
@@ -78,28 +113,37 @@
         }
     }
 
-    private static void accept(ServerSocket server, int status) {
+    /** Answers the request with the long body after its head. */
+    private interface Answer {
+        void send(Socket socket) throws IOException, InterruptedException;
+    }
+
+    private static void answerBeforeTheBody(Socket socket, int status)
+            throws IOException, InterruptedException {
+        String head = ANSWER_HEAD.replace("200 OK", status + " Status");
+        write(socket.getOutputStream(), head + "Content-Length: 2\r\n\r\nok");
+        Thread.sleep(300);
+        socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+    }
+
+    private static void accept(ServerSocket server, Answer answer) {
         try {
             while (true) {
                 Socket socket = server.accept();
-                Thread.startVirtualThread(() -> serve(socket, status));
+                Thread.startVirtualThread(() -> serve(socket, answer));
             }
         } catch (IOException closed) {
             // The test ended.
         }
     }
 
-    private static void serve(Socket socket, int status) {
+    private static void serve(Socket socket, Answer answer) {
         try (socket) {
             InputStream in = socket.getInputStream();
             OutputStream out = socket.getOutputStream();
             while (true) {
                 if (readHead(in).contains(ID)) {
-                    String head = "HTTP/1.1 " + status + " Status\r\nX-Azureshed-Request-Id: " + ID;
-                    write(out, head + "\r\nX-Azureshed-Response-Signature: s\r\n");
-                    write(out, "Content-Length: 2\r\n\r\nok");
-                    Thread.sleep(300);
-                    in.transferTo(OutputStream.nullOutputStream());
+                    answer.send(socket);
                     return;
                 }
                 write(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
