Read the settings before a heartbeat of another service counts

Cause: the node learnt the service only from the settings, which it looked at every 2 s when they change without a signal. A heartbeat that names another service now makes it read them first; they remain the only source, so that a late heartbeat of the former target changes nothing. The check without a heartbeat runs every 500 ms, in SidecarNode.

--- a/src/main/java/org/azureshed/platform/SidecarMain.java
+++ b/src/main/java/org/azureshed/platform/SidecarMain.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.azureshed.sidecar.SidecarNode;
 import org.azureshed.sidecar.SidecarSettings;
 import org.azureshed.telemetry.DecisionLog;
@@ -22,9 +24,6 @@
 
     private static final int EXIT_USAGE = 2;
 
-    /** Interval of checks for a settings file that was changed without SIGHUP. */
-    private static final long SETTINGS_CHECK_MILLIS = 2_000;
-
     private SidecarMain() {}
 
     /**
@@ -41,9 +40,10 @@
             SettingsFile file = new SettingsFile(path, System.getenv());
             SidecarSettings settings = file.read();
             DecisionLog log = new DecisionLog(System.out, settings.node());
-            SidecarNode node = new SidecarNode(settings, protocol(settings, log), log);
+            SidecarNode node =
+                    new SidecarNode(
+                            settings, protocol(settings, () -> changed(file, log), log), log);
             onHangup.set(() -> reload(node, file, log));
-            node.every(SETTINGS_CHECK_MILLIS, () -> reloadIfChanged(node, file, log));
             Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
             node.start();
         } catch (IOException | IllegalArgumentException e) {
@@ -52,21 +52,24 @@
         }
     }
 
-    static SidecarNode.PlatformProtocol protocol(SidecarSettings settings, DecisionLog log) {
+    static SidecarNode.PlatformProtocol protocol(
+            SidecarSettings settings,
+            Supplier<Optional<SidecarSettings>> changedSettings,
+            DecisionLog log) {
         return new SidecarNode.PlatformProtocol(
                 HEADERS,
                 (calls, onResult) -> new PlatformStore(calls, settings.storeAddress(), onResult),
                 ConfigurationDecoder::decode,
-                listener -> new HeartbeatHandler(listener, log));
+                listener -> new HeartbeatHandler(listener, log),
+                changedSettings);
     }
 
-    private static void reloadIfChanged(SidecarNode node, SettingsFile file, DecisionLog log) {
+    private static Optional<SidecarSettings> changed(SettingsFile file, DecisionLog log) {
         try {
-            if (file.changed()) {
-                node.reload(file.read());
-            }
+            return file.changed() ? Optional.of(file.read()) : Optional.empty();
         } catch (IOException | IllegalArgumentException e) {
             log.write("reload_failed", "cause", e.getMessage());
+            return Optional.empty();
         }
     }
 
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -15,6 +15,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.azureshed.directory.Directory;
 import org.azureshed.dispatch.StopSchedule;
 import org.azureshed.dispatch.SuspectRequests;
@@ -47,6 +48,9 @@
     private static final long TARGET_IDLE_MILLIS = 30_000;
     private static final long IDLE_CHECK_MILLIS = 1_000;
 
+    /** Interval of checks for settings that were replaced without a signal. */
+    private static final long SETTINGS_CHECK_MILLIS = 500;
+
     private static final long STOP_CHECK_MILLIS = 50;
 
     private final SidecarSettings settings;
@@ -76,12 +80,14 @@
      *     kind of each result
      * @param configuration decodes a configuration; throws IllegalArgumentException if malformed
      * @param heartbeats creates the handler of heartbeats and departures of the local target
+     * @param changedSettings reads the settings if they were replaced since they were last read
      */
     public record PlatformProtocol(
             HeaderNames names,
             BiFunction<ControlClient, Consumer<String>, FleetStore> store,
             Function<JsonNode, TrafficConfiguration> configuration,
-            Function<TargetListener, ControlEndpoint> heartbeats) {}
+            Function<TargetListener, ControlEndpoint> heartbeats,
+            Supplier<Optional<SidecarSettings>> changedSettings) {}
 
     /**
      * Creates a node.
@@ -156,8 +162,7 @@
                         unusable,
                         metrics,
                         log);
-        this.target =
-                new LocalTarget(settings, entry::knowsService, host, fleet, loop, metrics, log);
+        this.target = new LocalTarget(settings, this::mayRun, host, fleet, loop, metrics, log);
         this.watch =
                 new ConfigurationWatch(
                         store, loop, configuration, random.split(), unusable, metrics, log);
@@ -221,6 +226,11 @@
                 IDLE_CHECK_MILLIS,
                 IDLE_CHECK_MILLIS,
                 TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                metrics.guarded("settings_check", this::applyChangedSettings),
+                SETTINGS_CHECK_MILLIS,
+                SETTINGS_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
         log.write(
                 "started",
                 "service",
@@ -231,17 +241,6 @@
                 settings.firstStart());
     }
 
-    /**
-     * Runs a task periodically on the node's event loop.
-     *
-     * @param millis delay between the end of a run and the next one
-     * @param task the task; it must not block for long
-     */
-    public void every(long millis, Runnable task) {
-        loop.scheduleWithFixedDelay(
-                metrics.guarded("periodic_task", task), millis, millis, TimeUnit.MILLISECONDS);
-    }
-
     /**
      * Applies changed settings. Only the service of the local target can change at runtime.
      *
@@ -252,6 +251,22 @@
         localService = changed.service();
     }
 
+    private void applyChangedSettings() {
+        protocol.changedSettings().get().ifPresent(this::reload);
+    }
+
+    /**
+     * Whether the local target may run a service. Requests that begin here bear the name of the
+     * service in the settings, so that these must not lag behind the target: if its heartbeat names
+     * another service, they are read first.
+     */
+    private boolean mayRun(String service) {
+        if (!service.equals(localService)) {
+            applyChangedSettings();
+        }
+        return entry.knowsService(service);
+    }
+
     /**
      * Drains the node: returns when the in-flight requests have ended or the grace period is over.
      */
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -127,33 +128,39 @@
             String service,
             boolean firstStart,
             UnaryOperator<SidecarNode.PlatformProtocol> change) {
-        SidecarSettings settings =
-                new SidecarSettings(
-                        "node-" + index,
-                        "az-" + index % 2,
-                        service,
-                        ip(index),
-                        endpoint(index, TARGET_PORT),
-                        endpoint(index, ENTRY_PORT),
-                        endpoint(index, HOST_PORT),
-                        endpoint(index, HEALTH_PORT),
-                        endpoint(index, CONTROL_PORT),
-                        endpoint(index, PEER_PORT),
-                        Endpoint.parse(store.address()),
-                        1_500,
-                        6_000,
-                        0.2,
-                        60,
-                        10,
-                        bodyMemoryBytes,
-                        firstStart);
+        SidecarSettings settings = settings(index, service, firstStart);
         DecisionLog log = new DecisionLog(logOutput, settings.node());
         SidecarNode node =
-                new SidecarNode(settings, change.apply(SidecarMain.protocol(settings, log)), log);
+                new SidecarNode(
+                        settings,
+                        change.apply(SidecarMain.protocol(settings, Optional::empty, log)),
+                        log);
         nodes.add(node);
         return node;
     }
 
+    SidecarSettings settings(int index, String service, boolean firstStart) {
+        return new SidecarSettings(
+                "node-" + index,
+                "az-" + index % 2,
+                service,
+                ip(index),
+                endpoint(index, TARGET_PORT),
+                endpoint(index, ENTRY_PORT),
+                endpoint(index, HOST_PORT),
+                endpoint(index, HEALTH_PORT),
+                endpoint(index, CONTROL_PORT),
+                endpoint(index, PEER_PORT),
+                Endpoint.parse(store.address()),
+                1_500,
+                6_000,
+                0.2,
+                60,
+                10,
+                bodyMemoryBytes,
+                firstStart);
+    }
+
     int heartbeat(int index, String service, String state, long startMillis) throws Exception {
         String body =
                 ProtocolRequests.heartbeat(
--- a/src/test/java/org/azureshed/platform/UnexpectedErrorTest.java
+++ b/src/test/java/org/azureshed/platform/UnexpectedErrorTest.java
@@ -40,7 +40,8 @@
                                     withoutDeadline(protocol.names()),
                                     protocol.store(),
                                     protocol.configuration(),
-                                    protocol.heartbeats()));
+                                    protocol.heartbeats(),
+                                    protocol.changedSettings()));
             for (int i = 0; i < 3; i++) {
                 assertEquals(500, fleet.request(1, "GET", "/read/a", "id-" + i).statusCode());
             }
@@ -83,7 +84,8 @@
                                             }
                                             good.handle(method, path, body, reply);
                                         };
-                                    }));
+                                    },
+                                    protocol.changedSettings()));
             assertEquals(500, fleet.heartbeat(1, "shop", "ready", 1));
             failing.set(false);
             assertEquals(200, fleet.heartbeat(1, "shop", "ready", 1));
@@ -103,7 +105,8 @@
                                     protocol.names(),
                                     protocol.store(),
                                     failingWhile(failing, protocol.configuration()),
-                                    protocol.heartbeats()));
+                                    protocol.heartbeats(),
+                                    protocol.changedSettings()));
             failing.set(true);
             put(fleet, 2, "/second/");
             SidecarFleet.await(
