--- a/src/test/java/org/azureshed/traffic/HeadLineCheckTest.java
+++ b/src/test/java/org/azureshed/traffic/HeadLineCheckTest.java
@@ -51,6 +51,8 @@
                 "\0GET /a HTTP/1.1\r\n\r\n",
                 " GET /a HTTP/1.1\r\n\r\n",
                 "GET /a\u007f HTTP/1.1\r\n\r\n",
+                "GET /caf\u00c3\u00a9 HTTP/1.1\r\n\r\n",
+                "GET /a?b=\u0080 HTTP/1.1\r\n\r\n",
                 "GET /a HTTP/1.1 \r\n\r\n",
                 "GET /a HTTP/1.1\r\nX-A\r\n\r\n",
                 "GET /a HTTP/1.1\r\nX-A : 1\r\n\r\n",
