Report a call that gets no socket instead of throwing

Cause: ConnectionPool.connect cast the channel of a connect future that failed before it had a socket, so that the caller of the call got an exception and never a result. The call now fails as not connected, which each caller repeats.

--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.azureshed.traffic;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -48,6 +49,23 @@
             long maxIdleMillis,
             List<String> singleHeaders,
             TrafficEvents events) {
+        this(
+                loop,
+                connectTimeoutMillis,
+                maxIdleMillis,
+                singleHeaders,
+                events,
+                PeekableSocketChannel::new);
+    }
+
+    /** Creates a pool whose channels come from a factory, which may fail. */
+    ConnectionPool(
+            EventLoop loop,
+            int connectTimeoutMillis,
+            long maxIdleMillis,
+            List<String> singleHeaders,
+            TrafficEvents events,
+            ChannelFactory<PeekableSocketChannel> channels) {
         this.loop = loop;
         this.events = events;
         this.singleHeaders = List.copyOf(singleHeaders);
@@ -56,7 +74,7 @@
                 SocketOptions.client(
                         new Bootstrap()
                                 .group(loop)
-                                .channelFactory(PeekableSocketChannel::new)
+                                .channelFactory(channels)
                                 .option(
                                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                         connectTimeoutMillis));
@@ -172,7 +190,11 @@
                         .clone()
                         .handler(new Initializer(connection))
                         .connect(SocketOptions.address(address));
-        connection.attach((PeekableSocketChannel) connecting.channel());
+        // Without a free descriptor no socket is created, and the failed future has another
+        // channel.
+        if (connecting.channel() instanceof PeekableSocketChannel channel) {
+            connection.attach(channel);
+        }
         connecting.addListener(
                 done -> {
                     if (!done.isSuccess()) {
