Close the channels of a node before its event loop ends

Cause: with a quiet period of zero Netty's loop ends without closing its channels if the shutdown is requested between its two looks for it. NodeLoop closes them in a task of the loop first. Only tests close nodes.

Also: the prober waits one second at most for a connection of its pool, and the check of a heartbeat's service says in its name that it decides.

--- a/src/main/java/org/azureshed/node/HttpTargetProber.java
+++ b/src/main/java/org/azureshed/node/HttpTargetProber.java
@@ -38,7 +38,10 @@
                                                     .build())
                                     .build())
                     .setDefaultRequestConfig(
-                            RequestConfig.custom().setResponseTimeout(TIMEOUT).build())
+                            RequestConfig.custom()
+                                    .setConnectionRequestTimeout(TIMEOUT)
+                                    .setResponseTimeout(TIMEOUT)
+                                    .build())
                     .disableAutomaticRetries()
                     .disableRedirectHandling()
                     .disableContentCompression()
--- a/src/main/java/org/azureshed/sidecar/LocalTarget.java
+++ b/src/main/java/org/azureshed/sidecar/LocalTarget.java
@@ -40,7 +40,7 @@
     private static final long TICK_MILLIS = 250;
 
     private final TargetRegister register;
-    private final Predicate<String> mayRun;
+    private final Predicate<String> acceptsService;
     private final HostService host;
     private final FleetSync fleet;
     private final EventLoop loop;
@@ -50,7 +50,7 @@
 
     LocalTarget(
             SidecarSettings settings,
-            Predicate<String> mayRun,
+            Predicate<String> acceptsService,
             HostService host,
             FleetSync fleet,
             EventLoop loop,
@@ -59,7 +59,7 @@
         long silenceNanos =
                 TimeUnit.MILLISECONDS.toNanos(settings.heartbeatMillis() * MAX_MISSED_HEARTBEATS);
         this.register = new TargetRegister(settings.targetAddress(), silenceNanos);
-        this.mayRun = mayRun;
+        this.acceptsService = acceptsService;
         this.host = host;
         this.fleet = fleet;
         this.loop = loop;
@@ -90,7 +90,10 @@
 
     @Override
     public void heartbeat(Heartbeat heartbeat, Runnable acknowledge) {
-        checkArgument(mayRun.test(heartbeat.service()), "unknown service %s", heartbeat.service());
+        checkArgument(
+                acceptsService.test(heartbeat.service()),
+                "unknown service %s",
+                heartbeat.service());
         TargetRegister.Change change = register.apply(heartbeat, System.nanoTime());
         if (change != TargetRegister.Change.NONE) {
             log.write(
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.util.List;
@@ -56,9 +54,8 @@
     private final SidecarSettings settings;
     private final PlatformProtocol protocol;
     private final DecisionLog log;
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final NodeLoop nodeLoop = new NodeLoop();
+    private final EventLoop loop = nodeLoop.loop();
     private final SidecarMetrics metrics;
     private final ConfigurationHolder configuration;
     private final ConnectionPool nodeConnections;
@@ -162,7 +159,8 @@
                         unusable,
                         metrics,
                         log);
-        this.target = new LocalTarget(settings, this::mayRun, host, fleet, loop, metrics, log);
+        this.target =
+                new LocalTarget(settings, this::acceptsService, host, fleet, loop, metrics, log);
         this.watch =
                 new ConfigurationWatch(
                         store, loop, configuration, random.split(), unusable, metrics, log);
@@ -257,10 +255,10 @@
 
     /**
      * Whether the local target may run a service. Requests that begin here bear the name of the
-     * service in the settings, so that these must not lag behind the target: if its heartbeat names
-     * another service, they are read first.
+     * service in the settings, which must not lag behind the target: if its heartbeat names another
+     * service, they are read first.
      */
-    private boolean mayRun(String service) {
+    private boolean acceptsService(String service) {
         if (!service.equals(localService)) {
             applyChangedSettings();
         }
@@ -305,7 +303,7 @@
     /** Closes all connections at once without draining, like a killed process. */
     @Override
     public void close() {
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        nodeLoop.close();
         log.close();
     }
 
