--- a/src/test/java/org/azureshed/directory/DepartureModel.java
+++ b/src/test/java/org/azureshed/directory/DepartureModel.java
@@ -48,6 +48,8 @@
         STORE_BACK,
         /** A restarted node reads its former entry, if the store answers. */
         READ_STORE,
+        /** A restarted node no longer waits for its former entry before it uses a target. */
+        FORMER_WAIT_OVER,
         /** The store does not answer the next write, and does it later. */
         HOLD_WRITE,
         DO_LATE_WRITE,
@@ -75,6 +77,7 @@
         private final Map<String, Long> heartbeats = new HashMap<>();
 
         private boolean formerKnown;
+        private boolean formerWaitOver;
 
         /** Revision that the node's next write replaces. */
         private long storedRevision;
@@ -188,6 +191,10 @@
                 write();
             }
             case READ_STORE -> readStore();
+            case FORMER_WAIT_OVER -> {
+                process.formerWaitOver = true;
+                publish();
+            }
             case HOLD_WRITE -> holdNextWrite = true;
             case DO_LATE_WRITE -> {
                 if (!lateWrites.isEmpty() && lateWrites.peek().revision() == storeRevision) {
@@ -267,7 +274,9 @@
     private void publish() {
         process.own.addDepartures(process.register.departures());
         Optional<TargetEntry> target =
-                process.formerKnown ? process.register.current(0) : Optional.empty();
+                process.formerKnown || process.formerWaitOver
+                        ? process.register.current(0)
+                        : Optional.empty();
         if (!process.own.entry().target().equals(target)) {
             process.own.setTarget(target);
         }
--- a/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
+++ b/src/test/java/org/azureshed/directory/DeparturePropertyTest.java
@@ -43,6 +43,7 @@
                         Tuple.of(2, DepartureModel.Step.STORE_AWAY),
                         Tuple.of(2, DepartureModel.Step.STORE_BACK),
                         Tuple.of(3, DepartureModel.Step.READ_STORE),
+                        Tuple.of(1, DepartureModel.Step.FORMER_WAIT_OVER),
                         Tuple.of(2, DepartureModel.Step.HOLD_WRITE),
                         Tuple.of(2, DepartureModel.Step.DO_LATE_WRITE),
                         Tuple.of(3, DepartureModel.Step.SEND_TO_FIRST),
