Log the age of the configuration and what was wrong with refused requests

A request line now says how long ago the store last confirmed the configuration (store_ms), configuration_in_force says it too, and two gauges show version and age: they tell a node that knew nothing newer (hypothesis 1 and 2) from one that could not decode it (3).

Requests that were refused while they were read had neither id, status nor cause in the log, and a 404 named neither host nor target, so the hypotheses of DENIED could not be told apart. Both are logged now; the id is read also from a malformed head. HeadLineCheckTest, SplicedRequestTest, SidecarFleetTest and ArchitectureTest pass.

--- a/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.azureshed.dispatch.TrafficConfiguration;
 import org.azureshed.telemetry.DecisionLog;
 
@@ -14,6 +15,7 @@
 final class ConfigurationHolder {
     private final Function<JsonNode, TrafficConfiguration> decoder;
     private final Consumer<TrafficConfiguration> onChange;
+    private final LongSupplier storeAgeMillis;
     private final DecisionLog log;
     private Optional<JsonNode> content = Optional.empty();
     private long version;
@@ -21,9 +23,11 @@
     ConfigurationHolder(
             Function<JsonNode, TrafficConfiguration> decoder,
             Consumer<TrafficConfiguration> onChange,
+            LongSupplier storeAgeMillis,
             DecisionLog log) {
         this.decoder = decoder;
         this.onChange = onChange;
+        this.storeAgeMillis = storeAgeMillis;
         this.log = log;
     }
 
@@ -47,7 +51,9 @@
                 "before",
                 version,
                 "source",
-                source);
+                source,
+                "store_ms",
+                storeAgeMillis.getAsLong());
         version = decoded.version();
         content = Optional.of(encoded);
         onChange.accept(decoded);
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -34,6 +34,11 @@
     private final DecisionLog log;
     private boolean reachable = true;
 
+    /** When the store last answered a call of the watch; meaningless until {@link #answered}. */
+    private long lastAnswerNanos;
+
+    private boolean answered;
+
     ConfigurationWatch(
             FleetStore store,
             EventLoop loop,
@@ -55,6 +60,15 @@
         list("");
     }
 
+    /**
+     * Returns the time since the store last said which configuration is the newest.
+     *
+     * @return the time in milliseconds; -1 if it has not said so yet
+     */
+    long answerAgeMillis() {
+        return answered ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastAnswerNanos) : -1;
+    }
+
     /**
      * Lists the kind instead of reading the single object: only a listing returns the store's
      * current revision, and a watch from the object's own revision fails once the store has
@@ -80,6 +94,7 @@
         done.entries().stream()
                 .filter(entry -> entry.name().equals(NAME))
                 .forEach(entry -> holder.applyIfNewer(entry.content(), "store"));
+        noteAnswer();
         boolean found = done.entries().stream().anyMatch(entry -> entry.name().equals(NAME));
         if (!found && done.next().isPresent()) {
             list(done.next().get());
@@ -112,6 +127,7 @@
                                                     entry ->
                                                             holder.applyIfNewer(
                                                                     entry.content(), "watch"));
+                                    noteAnswer();
                                     long next = Math.max(revision, done.revision());
                                     loop.schedule(
                                             () -> watch(next),
@@ -147,6 +163,12 @@
         };
     }
 
+    /** Called after an answer was applied, so that the log shows the age of the one before. */
+    private void noteAnswer() {
+        answered = true;
+        lastAnswerNanos = System.nanoTime();
+    }
+
     private void onStoreReachable() {
         backoff.reset();
         if (!reachable) {
--- a/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarMetrics.java
@@ -18,6 +18,7 @@
 /** Counts and logs the decisions of the traffic path. */
 final class SidecarMetrics implements TrafficEvents {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
 
     /** Upper bounds in seconds, from a local answer to the longest deadline. */
     private static final double[] BUCKETS = {
@@ -37,7 +38,11 @@
     private final Histogram hostSeconds;
     private final Gauge droppedLines;
     private final Gauge bodyMemory;
+    private final Gauge configurationVersion;
+    private final Gauge storeAge;
     private final Map<String, LongSupplier> bodyMemorySides = new TreeMap<>();
+    private LongSupplier activeVersion = () -> 0;
+    private LongSupplier storeAgeMillis = () -> -1;
 
     SidecarMetrics(DecisionLog log) {
         this.log = log;
@@ -87,6 +92,18 @@
                         .help("Memory held for the bodies of requests, in bytes, by side")
                         .labelNames("side")
                         .register(registry);
+        this.configurationVersion =
+                Gauge.builder()
+                        .name("azureshed_configuration_version")
+                        .help("Version of the active configuration; 0 if there is none")
+                        .register(registry);
+        this.storeAge =
+                Gauge.builder()
+                        .name("azureshed_configuration_confirmed_age_seconds")
+                        .help(
+                                "Time since the store last said which configuration is the newest,"
+                                        + " in seconds; negative if it has not said so yet")
+                        .register(registry);
         this.droppedLines =
                 Gauge.builder()
                         .name("azureshed_log_lines_dropped")
@@ -99,6 +116,12 @@
         bodyMemorySides.put(side, bytes);
     }
 
+    /** Exposes the version of the active configuration and the age of its confirmation. */
+    void observeConfiguration(LongSupplier version, LongSupplier ageMillis) {
+        activeVersion = version;
+        storeAgeMillis = ageMillis;
+    }
+
     private Counter counter(String name, String help, String label) {
         return Counter.builder().name(name).help(help).labelNames(label).register(registry);
     }
@@ -188,6 +211,8 @@
         droppedLines.set(log.droppedLines());
         bodyMemorySides.forEach(
                 (side, bytes) -> bodyMemory.labelValues(side).set(bytes.getAsLong()));
+        configurationVersion.set(activeVersion.getAsLong());
+        storeAge.set(storeAgeMillis.getAsLong() / MILLIS_PER_SECOND);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrometheusTextFormatWriter.create().write(out, registry.scrape());
         return out.toByteArray();
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -129,9 +129,11 @@
                         gate::isRunningRetry,
                         random.split(),
                         bodyMemory("entry"),
+                        this::storeAgeMillis,
                         metrics);
         this.configuration =
-                new ConfigurationHolder(protocol.configuration(), entry::configure, log);
+                new ConfigurationHolder(
+                        protocol.configuration(), entry::configure, this::storeAgeMillis, log);
         this.host =
                 new HostService(
                         gate,
@@ -167,6 +169,11 @@
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
         fleet.onPrevious(target::learn, target::adopt);
+        metrics.observeConfiguration(configuration::version, this::storeAgeMillis);
+    }
+
+    private long storeAgeMillis() {
+        return watch.answerAgeMillis();
     }
 
     private RetryBudgetShare retryBudgetShare() {
--- a/src/main/java/org/azureshed/traffic/EntryExchange.java
+++ b/src/main/java/org/azureshed/traffic/EntryExchange.java
@@ -154,6 +154,15 @@
         String host = request.headers().get(HttpHeaderNames.HOST, "");
         Optional<ForwardRoute> found = configuration.get().route(host, request.uri());
         if (found.isEmpty()) {
+            service.events()
+                    .anomaly(
+                            "route_not_found",
+                            "id",
+                            request.headers().get(service.names().requestId()),
+                            "host",
+                            LogText.shorten(host),
+                            "target",
+                            LogText.shorten(request.uri()));
             refuse(RefusalReason.NO_ROUTE, 0);
             return;
         }
@@ -438,6 +447,8 @@
                         exchange == null ? 0 : exchange.sent(),
                         "config",
                         service.configuration().map(TrafficConfiguration::version).orElse(0L),
+                        "store_ms",
+                        service.configurationAgeMillis(),
                         "trail",
                         trail);
         handler.exchangeEnded(keep);
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -148,6 +148,9 @@
     private void handle(Object message) {
         try {
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+                if (message instanceof HttpRequest malformed) {
+                    head = malformed;
+                }
                 malformed(object.decoderResult().cause());
                 return;
             }
@@ -166,7 +169,8 @@
         Optional<String> fault = RequestHeads.fault(request, service.names().ofOneRequest());
         if (fault.isPresent()) {
             service.events().anomaly("spliced_request", "cause", fault.get());
-            refuseWhileReading(RefusalReason.BAD_FRAMING);
+            head = request;
+            refuseWhileReading(RefusalReason.BAD_FRAMING, fault.get());
             return;
         }
         head = request;
@@ -175,7 +179,7 @@
         body = new RequestBody(service.bodyMemory(), context.alloc());
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > limits().maxBodyBytes()) {
-            refuseWhileReading(RefusalReason.BODY_LIMIT);
+            refuseWhileReading(RefusalReason.BODY_LIMIT, "announced " + length);
             return;
         }
         if (!body.reserve(length)) {
@@ -196,7 +200,8 @@
     private void onContent(HttpContent content) {
         int size = content.content().readableBytes();
         if (body.bytes().readableBytes() + size > limits().maxBodyBytes()) {
-            refuseWhileReading(RefusalReason.BODY_LIMIT);
+            refuseWhileReading(
+                    RefusalReason.BODY_LIMIT, "received " + (body.bytes().readableBytes() + size));
             return;
         }
         if (!body.append(content.content())) {
@@ -267,13 +272,33 @@
         refuseWhileReading(
                 cause instanceof TooLongFrameException
                         ? RefusalReason.HEADER_LIMIT
-                        : RefusalReason.BAD_FRAMING);
+                        : RefusalReason.BAD_FRAMING,
+                String.valueOf(cause.getMessage()));
     }
 
     private void refuseWhileReading(RefusalReason reason) {
+        refuseWhileReading(reason, "");
+    }
+
+    private void refuseWhileReading(RefusalReason reason, String detail) {
         closing = true;
+        service.events()
+                .entryFinished(
+                        reason.label(),
+                        0,
+                        "id",
+                        head == null ? null : head.headers().get(service.names().requestId()),
+                        "phase",
+                        "reading",
+                        "status",
+                        reason.status(),
+                        "cause",
+                        LogText.shorten(detail),
+                        "target",
+                        head == null ? "" : LogText.shorten(head.uri()),
+                        "config",
+                        service.configuration().map(TrafficConfiguration::version).orElse(0L));
         releaseBody();
-        service.events().entryFinished(reason.label(), 0, "phase", "reading");
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
--- a/src/main/java/org/azureshed/traffic/EntryService.java
+++ b/src/main/java/org/azureshed/traffic/EntryService.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.azureshed.directory.Directory;
 import org.azureshed.directory.NodeEntry;
@@ -38,6 +39,7 @@
     private final Supplier<String> localService;
     private final BooleanSupplier localTargetRunsRetry;
     private final BodyMemory bodyMemory;
+    private final LongSupplier configurationAgeMillis;
     private final TrafficEvents events;
     private Optional<TrafficConfiguration> configuration = Optional.empty();
     private final Set<EntryHandler> connections = new HashSet<>();
@@ -57,6 +59,8 @@
      * @param localTargetRunsRetry whether the target beside this node is running a retry
      * @param random source of the random order of targets and the jitter of retry times
      * @param bodyMemory memory for the bodies of requests
+     * @param configurationAgeMillis time in milliseconds since the active configuration was last
+     *     confirmed to be the newest; negative if it has not been confirmed yet
      * @param events receives the outcomes
      */
     public EntryService(
@@ -70,6 +74,7 @@
             BooleanSupplier localTargetRunsRetry,
             SplittableRandom random,
             BodyMemory bodyMemory,
+            LongSupplier configurationAgeMillis,
             TrafficEvents events) {
         this.loop = loop;
         this.directory = directory;
@@ -82,6 +87,7 @@
         this.localService = localService;
         this.localTargetRunsRetry = localTargetRunsRetry;
         this.bodyMemory = bodyMemory;
+        this.configurationAgeMillis = configurationAgeMillis;
         this.events = events;
     }
 
@@ -163,6 +169,11 @@
         return configuration;
     }
 
+    /** Milliseconds since the configuration was confirmed; negative if it has not been yet. */
+    long configurationAgeMillis() {
+        return configurationAgeMillis.getAsLong();
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/src/main/java/org/azureshed/traffic/HeadLineCheck.java
+++ b/src/main/java/org/azureshed/traffic/HeadLineCheck.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.azureshed.http.HeadLines;
@@ -25,19 +26,37 @@
     }
 
     private final boolean ofResponses;
+
+    /** Beginning of the header line with a request's identifier, in lower case; may be empty. */
+    private final String idPrefix;
+
+    private String id = "";
     private Position position = Position.FIRST_LINE;
     private boolean failed;
 
-    private HeadLineCheck(boolean ofResponses) {
+    private HeadLineCheck(boolean ofResponses, String idPrefix) {
         this.ofResponses = ofResponses;
+        this.idPrefix = idPrefix;
     }
 
-    static HeadLineCheck ofRequests() {
-        return new HeadLineCheck(false);
+    /**
+     * Creates a check of requests.
+     *
+     * @param idHeader name of the header with a request's identifier, which is also read from a
+     *     malformed head; empty if there is none
+     */
+    static HeadLineCheck ofRequests(String idHeader) {
+        return new HeadLineCheck(
+                false, idHeader.isEmpty() ? "" : idHeader.toLowerCase(Locale.ROOT) + ':');
     }
 
     static HeadLineCheck ofResponses() {
-        return new HeadLineCheck(true);
+        return new HeadLineCheck(true, "");
+    }
+
+    /** Identifier of the last request whose head was read, also in part; empty if it has none. */
+    String id() {
+        return id;
     }
 
     /**
@@ -53,6 +72,7 @@
         Optional<String> fault = failed ? Optional.empty() : fault(buffer);
         if (fault.isPresent()) {
             failed = true;
+            noteIds(buffer);
             HttpMessage invalid = createInvalid.get();
             invalid.setDecoderResult(
                     DecoderResult.failure(new IllegalArgumentException(fault.get())));
@@ -88,6 +108,19 @@
         return Optional.empty();
     }
 
+    /** Looks for the identifier in the lines that the fault left unchecked. */
+    private void noteIds(ByteBuf buffer) {
+        if (!idPrefix.isEmpty()) {
+            buffer.toString(StandardCharsets.ISO_8859_1).lines().forEach(this::noteId);
+        }
+    }
+
+    private void noteId(String line) {
+        if (!idPrefix.isEmpty() && line.regionMatches(true, 0, idPrefix, 0, idPrefix.length())) {
+            id = line.substring(idPrefix.length()).trim();
+        }
+    }
+
     /** A server ignores empty lines before a request; before a response there are none. */
     private int skipEmptyLines(ByteBuf buffer, int from) {
         int start = from;
@@ -112,6 +145,7 @@
     private Optional<String> next(String line) {
         if (position == Position.FIRST_LINE) {
             position = Position.HEADERS;
+            id = "";
             boolean sound =
                     ofResponses ? HeadLines.isStatusLine(line) : HeadLines.isRequestLine(line);
             return sound
@@ -122,6 +156,7 @@
             position = Position.BODY;
             return Optional.empty();
         }
+        noteId(line);
         return HeadLines.isHeader(line, ofResponses)
                 ? Optional.empty()
                 : Optional.of("malformed header line");
--- a/src/main/java/org/azureshed/traffic/RequestDecoder.java
+++ b/src/main/java/org/azureshed/traffic/RequestDecoder.java
@@ -15,10 +15,19 @@
     private static final int MAX_HEADER_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    private final HeadLineCheck lines = HeadLineCheck.ofRequests();
+    private final HeadLineCheck lines;
+    private final String idHeader;
 
-    RequestDecoder() {
+    /**
+     * Creates a decoder.
+     *
+     * @param idHeader name of the header with a request's identifier, which a malformed head keeps
+     *     for the log; empty if there is none
+     */
+    RequestDecoder(String idHeader) {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        this.idHeader = idHeader;
+        this.lines = HeadLineCheck.ofRequests(idHeader);
     }
 
     @Override
@@ -28,6 +37,16 @@
             super.decode(context, buffer, out);
             lines.decoded(out);
         }
+        keepIdOfMalformed(out);
+    }
+
+    private void keepIdOfMalformed(List<Object> out) {
+        if (!out.isEmpty()
+                && out.get(out.size() - 1) instanceof HttpMessage message
+                && message.decoderResult().isFailure()
+                && !lines.id().isEmpty()) {
+            message.headers().set(idHeader, lines.id());
+        }
     }
 
     @Override
--- a/src/main/java/org/azureshed/traffic/TrafficServers.java
+++ b/src/main/java/org/azureshed/traffic/TrafficServers.java
@@ -24,7 +24,7 @@
      * @return the bound server channel
      */
     public static Channel entry(EventLoop loop, Endpoint address, EntryService service) {
-        return listen(loop, address, () -> new EntryHandler(service));
+        return listen(loop, address, service.names().requestId(), () -> new EntryHandler(service));
     }
 
     /**
@@ -36,7 +36,7 @@
      * @return the bound server channel
      */
     public static Channel host(EventLoop loop, Endpoint address, HostService service) {
-        return listen(loop, address, () -> new HostHandler(service));
+        return listen(loop, address, "", () -> new HostHandler(service));
     }
 
     /**
@@ -50,32 +50,34 @@
      */
     public static Channel control(
             EventLoop loop, Endpoint address, ControlEndpoint endpoint, TrafficEvents events) {
-        return listen(loop, address, () -> new ControlHandler(endpoint, events));
+        return listen(loop, address, "", () -> new ControlHandler(endpoint, events));
     }
 
     private static Channel listen(
-            EventLoop loop, Endpoint address, Supplier<ChannelHandler> handler) {
+            EventLoop loop, Endpoint address, String idHeader, Supplier<ChannelHandler> handler) {
         return SocketOptions.server(
                         new ServerBootstrap()
                                 .group(loop)
                                 .channel(NioServerSocketChannel.class)
-                                .childHandler(new Initializer(handler)))
+                                .childHandler(new Initializer(idHeader, handler)))
                 .bind(SocketOptions.address(address))
                 .syncUninterruptibly()
                 .channel();
     }
 
     private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final String idHeader;
         private final Supplier<ChannelHandler> handler;
 
-        Initializer(Supplier<ChannelHandler> handler) {
+        Initializer(String idHeader, Supplier<ChannelHandler> handler) {
+            this.idHeader = idHeader;
             this.handler = handler;
         }
 
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
-                    .addLast(new RequestDecoder())
+                    .addLast(new RequestDecoder(idHeader))
                     .addLast(new HttpResponseEncoder())
                     .addLast(handler.get());
         }
