--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -46,7 +46,7 @@
     private int calls;
     private final AtomicInteger heldWrites = new AtomicInteger();
     private volatile Fault fault = Fault.NONE;
-    private volatile Predicate<String> affectedCallers = caller -> true;
+    private volatile Predicate<String> affectedAddresses = address -> true;
 
     private record Event(long revision, String kind, ObjectNode object, boolean removed) {}
 
@@ -65,6 +65,11 @@
          * answers no call.
          */
         LATE_WRITES,
+        /**
+         * Carries out calls, but loses their answers, also those to watches that wait already. The
+         * connections stay open and carry nothing further, even after the fault.
+         */
+        SWALLOWED_ANSWERS,
         /** Neither carries out nor answers calls. */
         SILENT
     }
@@ -93,6 +98,15 @@
         return bound.getAddress().getHostAddress() + ':' + bound.getPort();
     }
 
+    /**
+     * Returns the port that the store listens on.
+     *
+     * @return a port from 1 to 65535
+     */
+    public int port() {
+        return server.getAddress().getPort();
+    }
+
     /**
      * Sets the fault to inject.
      *
@@ -103,12 +117,13 @@
     }
 
     /**
-     * Restricts the fault to some callers. Initially it applies to all.
+     * Restricts the fault to calls that arrive at some addresses. Initially it applies to all. Callers
+     * on one machine have the same address, so that each of them needs one of the store's own.
      *
-     * @param callers tests a caller's IP address; true if the fault applies to it
+     * @param addresses tests the IP address that a call arrived at; true if the fault applies to it
      */
-    public void limitFaultTo(Predicate<String> callers) {
-        affectedCallers = callers;
+    public void limitFaultTo(Predicate<String> addresses) {
+        affectedAddresses = addresses;
     }
 
     /**
@@ -177,8 +192,7 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
-        String caller = exchange.getRemoteAddress().getAddress().getHostAddress();
-        Fault activeFault = affectedCallers.test(caller) ? fault : Fault.NONE;
+        Fault activeFault = faultFor(exchange);
         byte[] body = exchange.getRequestBody().readAllBytes();
         synchronized (this) {
             calls++;
@@ -207,6 +221,11 @@
         }
     }
 
+    private Fault faultFor(HttpExchange exchange) {
+        String address = exchange.getLocalAddress().getAddress().getHostAddress();
+        return affectedAddresses.test(address) ? fault : Fault.NONE;
+    }
+
     private void awaitFaultEnd() {
         while (fault == Fault.SILENT && !Thread.currentThread().isInterrupted()) {
             sleep(20);
@@ -344,6 +363,10 @@
     }
 
     private void answer(HttpExchange exchange, int status, JsonNode body) throws IOException {
+        if (faultFor(exchange) == Fault.SWALLOWED_ANSWERS) {
+            // An exchange that is neither answered nor closed keeps its connection open and mute.
+            return;
+        }
         byte[] bytes = body == null ? new byte[0] : json.writeValueAsBytes(body);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
         exchange.sendResponseHeaders(status, bytes.length == 0 ? NO_BODY : bytes.length);
--- a/src/test/java/org/azureshed/platform/SidecarFleet.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleet.java
@@ -62,7 +62,7 @@
     /** Starts nodes with the given bound on the memory for bodies, in bytes. */
     SidecarFleet(long bodyMemoryBytes, String... services) throws Exception {
         this.bodyMemoryBytes = bodyMemoryBytes;
-        store = new StoreStandIn("127.0.0.1", 0);
+        store = new StoreStandIn("0.0.0.0", 0);
         store.put("config", "main", configuration(1));
         for (int i = 0; i < services.length; i++) {
             addTarget(i);
@@ -151,7 +151,7 @@
                 endpoint(index, HEALTH_PORT),
                 endpoint(index, CONTROL_PORT),
                 endpoint(index, PEER_PORT),
-                Endpoint.parse(store.address()),
+                endpoint(index, store.port()),
                 1_500,
                 6_000,
                 0.2,
@@ -221,10 +221,15 @@
     }
 
     static void await(String description, BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        await(description, condition, WAIT_SECONDS);
+    }
+
+    static void await(String description, BooleanSupplier condition, long seconds)
+            throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
-                throw new AssertionError("not within " + WAIT_SECONDS + " s: " + description);
+                throw new AssertionError("not within " + seconds + " s: " + description);
             }
             TimeUnit.MILLISECONDS.sleep(20);
         }
--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -170,7 +170,7 @@
     void configurationReachesNodesThatTheStoreFails(StoreStandIn.Fault fault) throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop", "shop", "shop")) {
             String faultyNodeIp = fleet.ip(2);
-            fleet.store.limitFaultTo(caller -> caller.equals(faultyNodeIp));
+            fleet.store.limitFaultTo(address -> address.equals(faultyNodeIp));
             fleet.store.fault(fault);
             fleet.store.dropHistory();
             fleet.store.put(
