Make up for lost answers of the store to the watch of the configuration

Cause: a node asked the store for news only by one watch of 30 s, given up after 31.5 s, and believed its silence. An answer can be lost on a connection that stays open; keep-alive probes do not show it, since the peer's kernel answers them. All nodes wait for the same answer, so one loss can hit all of them, and then no digest between nodes brings the change. Class of fault: silence of a call is taken for 'nothing new'.

Fix: StoreWatch, a reducer without I/O. Watches end in turns, evenly spread over the fleet, so that some node asks anew every 500 ms; the wait grows with the fleet, the calls per second do not. A watch that is silent 500 ms beyond its wait is followed by a listing on a new connection. Each node tells three others of a version that is new to it, and asks the store if that does not tell it within 200 ms what the others know. Retries while the store is away keep their cost, except at nodes that know to be behind.

--- a/src/main/java/org/azureshed/platform/PlatformStore.java
+++ b/src/main/java/org/azureshed/platform/PlatformStore.java
@@ -84,6 +84,11 @@
         call("PUT", path, body, RESPONSE_TIMEOUT_MILLIS, text -> object(kind, text), done);
     }
 
+    @Override
+    public void dropIdleConnections() {
+        client.dropIdleConnections(address);
+    }
+
     /** Decodes the response body of a successful call. */
     private interface BodyReader {
         Result read(byte[] body) throws IOException;
--- a/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/azureshed/platform/standin/StoreStandIn.java
@@ -117,8 +117,9 @@
     }
 
     /**
-     * Restricts the fault to calls that arrive at some addresses. Initially it applies to all. Callers
-     * on one machine have the same address, so that each of them needs one of the store's own.
+     * Restricts the fault to calls that arrive at some addresses. Initially it applies to all.
+     * Callers on one machine have the same address, so that each of them needs one of the store's
+     * own.
      *
      * @param addresses tests the IP address that a call arrived at; true if the fault applies to it
      */
--- a/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationHolder.java
@@ -31,18 +31,22 @@
         this.log = log;
     }
 
-    /** Activates a configuration if it is newer than the active one; logs one that is malformed. */
-    void applyIfNewer(JsonNode encoded, String source) {
+    /**
+     * Activates a configuration if it is newer than the active one; logs one that is malformed.
+     *
+     * @return whether it was activated
+     */
+    boolean applyIfNewer(JsonNode encoded, String source) {
         TrafficConfiguration decoded;
         try {
             decoded = decoder.apply(encoded);
         } catch (RuntimeException e) {
             // Any error in decoding must leave the active configuration in force.
             log.write("configuration_unreadable", "source", source, "cause", e);
-            return;
+            return false;
         }
         if (content.isPresent() && decoded.version() <= version) {
-            return;
+            return false;
         }
         log.write(
                 "configuration_in_force",
@@ -57,6 +61,7 @@
         version = decoded.version();
         content = Optional.of(encoded);
         onChange.accept(decoded);
+        return true;
     }
 
     long version() {
--- a/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
+++ b/src/main/java/org/azureshed/sidecar/ConfigurationWatch.java
@@ -1,37 +1,39 @@
 package org.azureshed.sidecar;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.telemetry.UnusableEntries;
 import org.azureshed.traffic.TrafficEvents;
-
-/** Loads the configuration from the store and then watches it until the process ends. */
+import org.azureshed.watch.FleetPosition;
+import org.azureshed.watch.StoreWatch;
+import org.azureshed.watch.WatchEffect;
+import org.azureshed.watch.WatchEvent;
+import org.azureshed.watch.WatchTiming;
+
+/**
+ * Loads the configuration from the store and then watches it until the process ends: carries out
+ * the effects of a {@link StoreWatch}. Runs on one event loop.
+ */
 final class ConfigurationWatch {
     private static final String KIND = "config";
     private static final String NAME = "main";
 
-    /**
-     * The longest wait that the store allows, because each call is billed. A shorter one is not
-     * needed to detect a dead connection, since TCP keep-alive probes do that.
-     */
-    private static final long WAIT_MILLIS = 30_000;
-
-    /**
-     * Delay before the next watch, so that one response covers several changes in quick succession.
-     * It delays the last change by a small part of the seconds that a change may take.
-     */
-    private static final long WATCH_DELAY_MILLIS = 300;
-
     private final FleetStore store;
     private final EventLoop loop;
     private final ConfigurationHolder holder;
-    private final Backoff backoff;
+    private final Supplier<FleetPosition> position;
+    private final LongConsumer tellNodes;
+    private final StoreWatch watch;
     private final UnusableEntries unusable;
     private final TrafficEvents events;
     private final DecisionLog log;
+    private ScheduledFuture<?> timer;
     private boolean reachable = true;
 
     /** When the store last answered a call of the watch; meaningless until {@link #answered}. */
@@ -39,10 +41,25 @@
 
     private boolean answered;
 
+    /**
+     * Creates a watch that has not started.
+     *
+     * @param store client of the store
+     * @param loop event loop of this watch and of the store's results
+     * @param holder receives configurations
+     * @param position place of this node among the known nodes
+     * @param tellNodes tells some other nodes of a version
+     * @param random spreads the calls of nodes that fail together
+     * @param unusable receives objects that cannot be decoded
+     * @param events receives lost answers and exceptions
+     * @param log receives the state of the store as this node sees it
+     */
     ConfigurationWatch(
             FleetStore store,
             EventLoop loop,
             ConfigurationHolder holder,
+            Supplier<FleetPosition> position,
+            LongConsumer tellNodes,
             SplittableRandom random,
             UnusableEntries unusable,
             TrafficEvents events,
@@ -50,14 +67,26 @@
         this.store = store;
         this.loop = loop;
         this.holder = holder;
-        this.backoff = new Backoff(random);
+        this.position = position;
+        this.tellNodes = tellNodes;
+        this.watch = new StoreWatch(WatchTiming.STANDARD, random::nextDouble);
         this.unusable = unusable;
         this.events = events;
         this.log = log;
     }
 
     void start() {
-        list("");
+        handle(new WatchEvent.Started());
+    }
+
+    /** Another node knows of a configuration with a version. */
+    void knownElsewhere(long version) {
+        handle(new WatchEvent.KnownElsewhere(version));
+    }
+
+    /** Another node has sent a newer configuration, which is active now. */
+    void learnedElsewhere() {
+        handle(new WatchEvent.LearnedElsewhere(holder.version()));
     }
 
     /**
@@ -69,119 +98,132 @@
         return answered ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastAnswerNanos) : -1;
     }
 
+    private void handle(WatchEvent event) {
+        for (WatchEffect effect : watch.handle(event, position.get(), System.nanoTime())) {
+            execute(effect);
+        }
+    }
+
+    private void execute(WatchEffect effect) {
+        switch (effect) {
+            case WatchEffect.ListNow list -> list(list.call(), "");
+            case WatchEffect.WatchNow next -> watch(next);
+            case WatchEffect.DropIdleConnections ignored -> {
+                events.anomaly(
+                        "store_silent", "store_ms", answerAgeMillis(), "config", holder.version());
+                store.dropIdleConnections();
+            }
+            case WatchEffect.TellNodes tell -> tellNodes.accept(tell.version());
+            case WatchEffect.SetTimer next -> setTimer(next.nanos());
+        }
+    }
+
+    private void setTimer(long nanos) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timer =
+                loop.schedule(
+                        events.guarded(
+                                "configuration_watch", () -> handle(new WatchEvent.TimerFired())),
+                        Math.max(0, nanos - System.nanoTime()),
+                        TimeUnit.NANOSECONDS);
+    }
+
     /**
      * Lists the kind instead of reading the single object: only a listing returns the store's
      * current revision, and a watch from the object's own revision fails once the store has
      * discarded the changes since then.
      */
-    private void list(String after) {
+    private void list(long call, String after) {
         store.list(
                 KIND,
                 after,
                 false,
                 guarded(
+                        call,
                         result -> {
-                            switch (result) {
-                                case FleetStore.Result.Done done -> listed(done);
-                                default -> retry(result, this::start);
+                            if (result instanceof FleetStore.Result.Done done) {
+                                listed(call, done);
+                            } else {
+                                failed(call, result);
                             }
                         }));
     }
 
-    private void listed(FleetStore.Result.Done done) {
-        onStoreReachable();
-        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
-        done.entries().stream()
-                .filter(entry -> entry.name().equals(NAME))
-                .forEach(entry -> holder.applyIfNewer(entry.content(), "store"));
-        noteAnswer();
+    private void listed(long call, FleetStore.Result.Done done) {
+        apply(done, "store");
         boolean found = done.entries().stream().anyMatch(entry -> entry.name().equals(NAME));
         if (!found && done.next().isPresent()) {
-            list(done.next().get());
+            list(call, done.next().get());
         } else {
-            watch(done.revision());
+            handle(new WatchEvent.Listed(call, done.revision(), holder.version()));
         }
     }
 
-    private void watch(long revision) {
+    private void watch(WatchEffect.WatchNow next) {
         store.watch(
                 KIND,
-                revision,
-                WAIT_MILLIS,
-                guarded(
-                        result -> {
-                            switch (result) {
-                                case FleetStore.Result.Done done -> {
-                                    onStoreReachable();
-                                    done.unreadable()
-                                            .forEach(
-                                                    odd ->
-                                                            unusable.report(
-                                                                    odd.kind(),
-                                                                    odd.name(),
-                                                                    odd.cause()));
-                                    done.entries().stream()
-                                            .filter(entry -> entry.name().equals(NAME))
-                                            .filter(entry -> !entry.removed())
-                                            .forEach(
-                                                    entry ->
-                                                            holder.applyIfNewer(
-                                                                    entry.content(), "watch"));
-                                    noteAnswer();
-                                    long next = Math.max(revision, done.revision());
-                                    loop.schedule(
-                                            () -> watch(next),
-                                            WATCH_DELAY_MILLIS,
-                                            TimeUnit.MILLISECONDS);
-                                }
-                                case FleetStore.Result.HistoryGone ignored -> {
-                                    log.write(
-                                            "watch_history_gone",
-                                            "kind",
-                                            KIND,
-                                            "revision",
-                                            revision);
-                                    loop.schedule(
-                                            this::start, backoff.next(), TimeUnit.MILLISECONDS);
-                                }
-                                // Changes may have been missed; listing returns the current
-                                // content.
-                                default -> retry(result, this::start);
-                            }
-                        }));
+                next.revision(),
+                next.waitMillis(),
+                guarded(next.call(), result -> watched(next, result)));
+    }
+
+    private void watched(WatchEffect.WatchNow next, FleetStore.Result result) {
+        switch (result) {
+            case FleetStore.Result.Done done -> {
+                apply(done, "watch");
+                boolean changed = !done.entries().isEmpty() || !done.unreadable().isEmpty();
+                handle(
+                        new WatchEvent.Watched(
+                                next.call(), done.revision(), changed, holder.version()));
+            }
+            case FleetStore.Result.HistoryGone ignored -> {
+                log.write("watch_history_gone", "kind", KIND, "revision", next.revision());
+                handle(new WatchEvent.HistoryGone(next.call()));
+            }
+            default -> failed(next.call(), result);
+        }
+    }
+
+    private void apply(FleetStore.Result.Done done, String source) {
+        onStoreReachable();
+        done.unreadable().forEach(odd -> unusable.report(odd.kind(), odd.name(), odd.cause()));
+        for (FleetStore.StoredEntry entry : done.entries()) {
+            if (entry.name().equals(NAME) && !entry.removed()) {
+                holder.applyIfNewer(entry.content(), source);
+            }
+        }
+        // After the configuration was applied, so that its log line has the age of the answer
+        // before.
+        answered = true;
+        lastAnswerNanos = System.nanoTime();
     }
 
     /** After an exception the watch starts again; it must not end while the process runs. */
-    private Consumer<FleetStore.Result> guarded(Consumer<FleetStore.Result> handler) {
+    private Consumer<FleetStore.Result> guarded(long call, Consumer<FleetStore.Result> handler) {
         return result -> {
             try {
                 handler.accept(result);
             } catch (RuntimeException e) {
                 events.unexpected("configuration_watch", e);
-                loop.schedule(this::start, backoff.next(), TimeUnit.MILLISECONDS);
+                handle(new WatchEvent.Failed(call));
             }
         };
     }
 
-    /** Called after an answer was applied, so that the log shows the age of the one before. */
-    private void noteAnswer() {
-        answered = true;
-        lastAnswerNanos = System.nanoTime();
-    }
-
     private void onStoreReachable() {
-        backoff.reset();
         if (!reachable) {
             reachable = true;
             log.write("store_regained");
         }
     }
 
-    private void retry(FleetStore.Result result, Runnable next) {
+    private void failed(long call, FleetStore.Result result) {
         if (reachable) {
             reachable = false;
             log.write("store_lost", "result", result);
         }
-        loop.schedule(next, backoff.next(), TimeUnit.MILLISECONDS);
+        handle(new WatchEvent.Failed(call));
     }
 }
--- a/src/main/java/org/azureshed/sidecar/FleetStore.java
+++ b/src/main/java/org/azureshed/sidecar/FleetStore.java
@@ -139,4 +139,10 @@
      * @param done receives the result
      */
     void replace(String kind, String name, long revision, JsonNode content, Consumer<Result> done);
+
+    /**
+     * Closes the connections that no call uses. After an answer was lost on one that stayed open,
+     * others may be as silent.
+     */
+    void dropIdleConnections();
 }
--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -4,11 +4,13 @@
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.azureshed.directory.Condition;
 import org.azureshed.directory.Departures;
 import org.azureshed.directory.Directory;
@@ -23,6 +25,7 @@
 import org.azureshed.telemetry.UnusableEntries;
 import org.azureshed.traffic.ControlClient;
 import org.azureshed.traffic.TrafficEvents;
+import org.azureshed.watch.FleetPosition;
 
 /**
  * Replicates the directory to all nodes. Each node writes its own entry to the store and then lists
@@ -51,6 +54,12 @@
     /** Two nodes that are set to the same address by mistake would raise each other endlessly. */
     private static final long MIN_RECLAIM_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Odd factor near 2^32 divided by the golden ratio, for multiplicative hashing. */
+    private static final int SCATTERING_FACTOR = 0x9E3779B9;
+
+    /** Distances, in the order of the nodes, of those that this node tells of a new version. */
+    private static final int[] TOLD_DISTANCES = {1, 2, 8};
+
     private static final byte[] EMPTY_BODY = {};
 
     private final SidecarSettings settings;
@@ -70,6 +79,8 @@
     private final OwnEntryStore ownStore;
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
     private Consumer<Departures> onDepartures = departures -> {};
+    private LongConsumer onKnownConfiguration = version -> {};
+    private Runnable onLearnedConfiguration = () -> {};
     private final OwnEntry own;
 
     /** Whether other nodes have not been told of the latest change of this node's entry. */
@@ -150,6 +161,63 @@
         onDepartures = departures;
     }
 
+    /**
+     * Sets the listeners for configurations that other nodes have.
+     *
+     * @param known receives the version that another node knows of
+     * @param learned runs when another node has sent a newer version, which is active now
+     */
+    void onConfigurationElsewhere(LongConsumer known, Runnable learned) {
+        onKnownConfiguration = known;
+        onLearnedConfiguration = learned;
+    }
+
+    /**
+     * Tells a few other nodes that there is a version. They are not neighbours only, so that
+     * several nodes that have gone do not end the chain.
+     *
+     * @param version version of a configuration
+     */
+    void tellConfigurationVersion(long version) {
+        byte[] body = codec.bytes(codec.object().put("config", version));
+        List<NodeEntry> others = othersInOrder();
+        for (int distance : TOLD_DISTANCES) {
+            if (distance <= others.size()) {
+                send(others.get(distance - 1), "/fleet/version", body, ignored -> {});
+            }
+        }
+    }
+
+    /** Place of this node among the known nodes, mixed over the availability zones. */
+    FleetPosition position() {
+        int own = positionKey(settings.node());
+        int before = 0;
+        int others = 0;
+        for (NodeEntry node : directory.nodes()) {
+            if (!isOwn(node)) {
+                others++;
+                before += positionKey(node.name()) < own ? 1 : 0;
+            }
+        }
+        return new FleetPosition(before, others + 1);
+    }
+
+    /** Returns the other known nodes in the order of positions, beginning behind this one. */
+    private List<NodeEntry> othersInOrder() {
+        int own = positionKey(settings.node());
+        return directory.nodes().stream()
+                .filter(node -> !isOwn(node))
+                .sorted(
+                        Comparator.comparingLong(
+                                node -> Integer.toUnsignedLong(positionKey(node.name()) - own)))
+                .toList();
+    }
+
+    /** Orders similar names as if at random. */
+    private static int positionKey(String node) {
+        return node.hashCode() * SCATTERING_FACTOR;
+    }
+
     /** Whether the initial listing of the nodes is complete. */
     boolean listed() {
         return listed;
@@ -374,9 +442,7 @@
                     partner,
                     "/fleet/configuration",
                     EMPTY_BODY,
-                    content ->
-                            configuration.applyIfNewer(
-                                    content.parse(codec.mapper()), partner.name()));
+                    content -> applyConfiguration(content, partner.name()));
         } else if (partnerVersion < configuration.version()
                 && configuration.content().isPresent()) {
             byte[] content = codec.bytes(configuration.content().get());
@@ -403,11 +469,15 @@
                                         digestReply(codec.number(JsonSlice.of(body), "digest"))));
                 case "/fleet/configuration" -> {
                     if (body.length > 0) {
-                        configuration.applyIfNewer(
-                                JsonSlice.of(body).parse(codec.mapper()), "message");
+                        applyConfiguration(JsonSlice.of(body), "message");
                     }
                     yield configuration.content().map(codec::bytes);
                 }
+                case "/fleet/version" -> {
+                    onKnownConfiguration.accept(codec.number(JsonSlice.of(body), "config"));
+                    yield Optional.of(
+                            codec.bytes(codec.object().put("config", configuration.version())));
+                }
                 default -> Optional.empty();
             };
         } catch (IOException e) {
@@ -416,6 +486,12 @@
         }
     }
 
+    private void applyConfiguration(JsonSlice content, String source) throws IOException {
+        if (configuration.applyIfNewer(content.parse(codec.mapper()), source)) {
+            onLearnedConfiguration.run();
+        }
+    }
+
     /**
      * Merges received entries.
      *
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -165,10 +165,19 @@
                 new LocalTarget(settings, this::acceptsService, host, fleet, loop, metrics, log);
         this.watch =
                 new ConfigurationWatch(
-                        store, loop, configuration, random.split(), unusable, metrics, log);
+                        store,
+                        loop,
+                        configuration,
+                        fleet::position,
+                        fleet::tellConfigurationVersion,
+                        random.split(),
+                        unusable,
+                        metrics,
+                        log);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
         fleet.onPrevious(target::learn, target::adopt);
+        fleet.onConfigurationElsewhere(watch::knownElsewhere, watch::learnedElsewhere);
         metrics.observeConfiguration(configuration::version, this::storeAgeMillis);
     }
 
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -152,6 +152,14 @@
         }
     }
 
+    /** Closes the idle connections to a server. */
+    void closeIdle(Endpoint address) {
+        for (ClientConnection connection : List.copyOf(idle.getOrDefault(address, NONE))) {
+            discard(connection);
+            connection.close();
+        }
+    }
+
     private ClientConnection takeIdle(
             Endpoint address, long maxIdleForCallNanos, String requestId) {
         long now = System.nanoTime();
--- a/src/main/java/org/azureshed/traffic/ControlClient.java
+++ b/src/main/java/org/azureshed/traffic/ControlClient.java
@@ -85,6 +85,15 @@
         call.connection = connections.acquire(address, Long.MAX_VALUE, call);
     }
 
+    /**
+     * Closes the connections to a server that no call uses.
+     *
+     * @param address endpoint of the server
+     */
+    public void dropIdleConnections(Endpoint address) {
+        connections.closeIdle(address);
+    }
+
     private final class Call implements CallListener {
         private final Endpoint address;
         private final String method;
--- a/src/test/java/org/azureshed/ArchitectureTest.java
+++ b/src/test/java/org/azureshed/ArchitectureTest.java
@@ -55,7 +55,8 @@
                             "org.azureshed.admission..",
                             "org.azureshed.directory..",
                             "org.azureshed.dispatch..",
-                            "org.azureshed.host..")
+                            "org.azureshed.host..",
+                            "org.azureshed.watch..")
                     .and(DescribedPredicate.not(resideInAPackage("..internal..")))
                     .and(
                             DescribedPredicate.describe(
--- a/src/test/java/org/azureshed/sidecar/OwnEntryStoreTest.java
+++ b/src/test/java/org/azureshed/sidecar/OwnEntryStoreTest.java
@@ -170,6 +170,9 @@
 
     /** Answers every call at once. */
     private final class RecordingStore implements FleetStore {
+        @Override
+        public void dropIdleConnections() {}
+
         @Override
         public void list(String kind, String after, boolean stale, Consumer<Result> done) {
             done.accept(DONE);
