Find the route of a request in absolute form or with a final dot

Cause: the target of the request line was compared with path prefixes as it came, so the absolute form, which callers use towards a proxy and which a server must accept (RFC 9112, 3.2.2), matched none; and a Host with the final dot of an absolute name was another name. Class of fault: a name is compared in one of its forms.

Fix: RequestTarget reads each form once, when the head is complete. Targets get the origin form with the path as it was sent, and the authority as Host.

--- a/src/main/java/org/azureshed/dispatch/ForwardRoute.java
+++ b/src/main/java/org/azureshed/dispatch/ForwardRoute.java
@@ -8,7 +8,7 @@
  * One route of the current configuration.
  *
  * @param name name of the route
- * @param host host name that it matches, in lower case
+ * @param host host name that it matches, in lower case and without a final dot
  * @param pathPrefix prefix of the paths that it matches; begins and ends with a slash
  * @param repeatable whether a request may run more than once
  * @param timeoutMillis deadline of a request in milliseconds from its arrival
--- a/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
+++ b/src/main/java/org/azureshed/dispatch/TrafficConfiguration.java
@@ -5,11 +5,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.azureshed.http.RequestTarget;
 
 /**
  * The configuration of a node's entry side: routes and limits of callers' connections. Immutable.
@@ -78,17 +78,15 @@
     /**
      * Finds the route with the longest prefix of the path.
      *
-     * @param hostHeader value of the Host header, with or without a port
+     * @param authority host of the request, with or without a port
      * @param uri path and query of the request
      * @return the route, or empty if the configuration has none for it
      */
-    public Optional<ForwardRoute> route(String hostHeader, String uri) {
-        int colon = hostHeader.lastIndexOf(':');
-        String host = (colon < 0 ? hostHeader : hostHeader.substring(0, colon)).trim();
+    public Optional<ForwardRoute> route(String authority, String uri) {
+        String host = new RequestTarget(authority, uri).host();
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
-        for (ForwardRoute route :
-                routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+        for (ForwardRoute route : routesByHost.getOrDefault(host, List.of())) {
             if (path.startsWith(route.pathPrefix())) {
                 return Optional.of(route);
             }
--- a/src/main/java/org/azureshed/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/azureshed/platform/ConfigurationDecoder.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.azureshed.dispatch.ForwardRoute;
 import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.http.RequestTarget;
 
 /** Decodes the configuration that the operator stores as JSON: one list of typed resources. */
 final class ConfigurationDecoder {
@@ -51,7 +51,7 @@
     private static ForwardRoute route(String name, JsonNode json) {
         return new ForwardRoute(
                 name,
-                json.path("host").asText().toLowerCase(Locale.ROOT),
+                RequestTarget.comparableHost(json.path("host").asText()),
                 json.path("pathPrefix").asText(),
                 isRepeatable(json.path("kind").asText()),
                 json.path("timeoutMs").asLong(),
--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import org.azureshed.dispatch.ExchangeEvent;
 import org.azureshed.dispatch.TrafficConfiguration;
+import org.azureshed.http.RequestTarget;
 import org.azureshed.model.RefusalReason;
 
 /**
@@ -173,6 +174,7 @@
             refuseWhileReading(RefusalReason.BAD_FRAMING, fault.get());
             return;
         }
+        setOriginForm(request);
         head = request;
         headTimerRunning = false;
         headNanos = System.nanoTime();
@@ -197,6 +199,16 @@
         schedule(bodyTimeoutMillis, () -> refuseWhileReading(RefusalReason.BODY_TOO_SLOW));
     }
 
+    /** Converts the absolute form of a request's target to the one that targets get. */
+    private static void setOriginForm(HttpRequest request) {
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        RequestTarget target = RequestTarget.of(request.uri(), host);
+        if (!target.path().equals(request.uri())) {
+            request.setUri(target.path());
+            request.headers().set(HttpHeaderNames.HOST, target.authority());
+        }
+    }
+
     private void onContent(HttpContent content) {
         int size = content.content().readableBytes();
         if (body.bytes().readableBytes() + size > limits().maxBodyBytes()) {
