Keep the turns of the watches apart after lost calls

Found by StoreWatchPropertyTest with 20,000 tries and more on, before anyone saw it: after a first loss the nodes' watches no longer ended evenly, as each began its turn at its own recovery, and a second loss could take more than 2 s to be made up for (about 1 of 10,000 histories). A listing that was asked before another node named a version, but answered after it, counted as newer than that claim. And a single node, or a few, could all be within the longest delay of a retry, 2.4 s, when the store came back.

Turns are counted from the moment at which the nodes heard of the newest version, which is the same for all within milliseconds; a claim stands until a listing that began after it; the longest mean delay between retries is 1 s.

--- a/src/main/java/org/azureshed/watch/StoreWatch.java
+++ b/src/main/java/org/azureshed/watch/StoreWatch.java
@@ -28,6 +28,10 @@
     private long lastCall;
     private long revision;
     private long timerNanos;
+
+    /** When the turns of the nodes began: when this one heard of {@link #knownVersion}. */
+    private long turnsFromNanos;
+
     private long backoffMillis;
 
     /** Version of the active configuration; 0 if there is none. */
@@ -36,6 +40,9 @@
     /** The newest version that this node has heard of; it may not have its content. */
     private long knownVersion;
 
+    /** The last call that began before another node named {@link #knownVersion}. */
+    private long claimedCall;
+
     private enum Phase {
         /** A listing is under way. */
         LISTING,
@@ -76,13 +83,16 @@
             case WatchEvent.HistoryGone gone -> failed(gone.call(), position, nowNanos);
             case WatchEvent.Failed failed -> failed(failed.call(), position, nowNanos);
             case WatchEvent.KnownElsewhere known -> {
-                noteVersion(known.version());
+                if (known.version() > knownVersion) {
+                    claimedCall = lastCall;
+                }
+                noteVersion(known.version(), nowNanos);
                 if (behind() && (phase == Phase.WATCHING || phase == Phase.BEFORE_LISTING)) {
                     endWaitSoon(nowNanos);
                 }
             }
             case WatchEvent.LearnedElsewhere learned -> {
-                noteVersion(learned.version());
+                noteVersion(learned.version(), nowNanos);
                 activeVersion = Math.max(activeVersion, learned.version());
                 if (phase == Phase.WATCHING) {
                     endWaitSoon(nowNanos);
@@ -98,36 +108,45 @@
             // A late answer; a later call has been answered.
             return;
         }
-        noteAnswer(listed.revision(), listed.version());
-        // The listing is newer than what others said before it.
-        knownVersion = activeVersion;
-        watch(turnMillis(position), nowNanos);
+        boolean first = revision == 0;
+        noteAnswer(listed.revision(), listed.version(), nowNanos);
+        if (listed.call() > claimedCall) {
+            // The store was asked after the claim, and nothing is newer there.
+            knownVersion = activeVersion;
+        }
+        if (first) {
+            phase = Phase.BEFORE_WATCH;
+            setTimer(nowNanos + nanos(timing.startPauseMillis()));
+        } else {
+            watch(position, nowNanos);
+        }
     }
 
     private void watched(WatchEvent.Watched watched, FleetPosition position, long nowNanos) {
         if (phase != Phase.WATCHING || watched.call() != lastCall) {
             return;
         }
-        noteAnswer(watched.revision(), watched.version());
+        noteAnswer(watched.revision(), watched.version(), nowNanos);
         if (watched.changed()) {
             phase = Phase.BEFORE_WATCH;
             setTimer(nowNanos + nanos(timing.pauseMillis()));
         } else {
-            watch(regularWaitMillis(position), nowNanos);
+            watch(position, nowNanos);
         }
     }
 
-    private void noteAnswer(long answeredRevision, long version) {
+    private void noteAnswer(long answeredRevision, long version, long nowNanos) {
         revision = Math.max(revision, answeredRevision);
         backoffMillis = 0;
         activeVersion = Math.max(activeVersion, version);
-        noteVersion(version);
+        noteVersion(version, nowNanos);
     }
 
     /** Passes a version that is new to this node on to other nodes. */
-    private void noteVersion(long version) {
+    private void noteVersion(long version, long nowNanos) {
         if (version > knownVersion) {
             knownVersion = version;
+            turnsFromNanos = nowNanos;
             effects.add(new WatchEffect.TellNodes(version));
         }
     }
@@ -165,7 +184,7 @@
                 list(nowNanos);
             }
             case BEFORE_LISTING -> list(nowNanos);
-            case BEFORE_WATCH -> watch(turnMillis(position), nowNanos);
+            case BEFORE_WATCH -> watch(position, nowNanos);
         }
     }
 
@@ -176,8 +195,9 @@
         setTimer(nowNanos + nanos(timing.answerMillis()));
     }
 
-    private void watch(long waitMillis, long nowNanos) {
+    private void watch(FleetPosition position, long nowNanos) {
         phase = Phase.WATCHING;
+        long waitMillis = untilTurnMillis(position, nowNanos);
         lastCall++;
         effects.add(new WatchEffect.WatchNow(lastCall, revision, waitMillis));
         // A change that another node knows of is there to be told at once.
@@ -200,18 +220,23 @@
     }
 
     /**
-     * Returns the wait of a watch that all nodes begin at about the same time, after a change or a
-     * start. Each node gets its turn to end, and keeps it with regular waits afterwards.
+     * Returns the time until the next turn of this node. The turns are counted from the moment at
+     * which the nodes heard of the newest version, which is about the same for all, so that they
+     * stay apart also after calls that were lost or failed.
      */
-    private long turnMillis(FleetPosition position) {
-        return regularWaitMillis(position) * (position.rank() + 1) / position.nodes();
-    }
-
-    private long regularWaitMillis(FleetPosition position) {
-        return Math.clamp(
-                position.nodes() * timing.fleetIntervalMillis(),
-                timing.minWaitMillis(),
-                timing.maxWaitMillis());
+    private long untilTurnMillis(FleetPosition position, long nowNanos) {
+        long periodMillis =
+                Math.clamp(
+                        position.nodes() * timing.fleetIntervalMillis(),
+                        timing.minPeriodMillis(),
+                        timing.maxWaitMillis());
+        long firstTurnMillis = periodMillis * (position.rank() + 1) / position.nodes();
+        long sinceFirstTurnMillis =
+                TimeUnit.NANOSECONDS.toMillis(nowNanos - turnsFromNanos) - firstTurnMillis;
+        long untilTurnMillis = periodMillis - Math.floorMod(sinceFirstTurnMillis, periodMillis);
+        return untilTurnMillis >= timing.minWaitMillis()
+                ? untilTurnMillis
+                : Math.min(untilTurnMillis + periodMillis, timing.maxWaitMillis());
     }
 
     private void setTimer(long nanos) {
--- a/src/main/java/org/azureshed/watch/WatchTiming.java
+++ b/src/main/java/org/azureshed/watch/WatchTiming.java
@@ -5,10 +5,14 @@
  *
  * @param fleetIntervalMillis mean time between the beginnings of two watches anywhere in the fleet.
  *     It bounds the time until some node notices that answers were lost
- * @param minWaitMillis shortest regular wait of a watch; more than the interval in a small fleet
- * @param maxWaitMillis longest wait that the store allows
+ * @param minPeriodMillis shortest time between the turns of one node; in a small fleet more than
+ *     the interval for each node
+ * @param minWaitMillis shortest wait of a watch; a node whose turn comes sooner passes it
+ * @param maxWaitMillis longest wait that the store allows, and longest time between turns
  * @param pauseMillis pause after an answer with changes, so that one answer covers several changes
  *     in quick succession
+ * @param startPauseMillis pause after the first answer of the store, in which the node learns how
+ *     large the fleet is
  * @param answerMillis time after which the answer to a call, beyond the wait of a watch, counts as
  *     lost
  * @param patienceMillis time that the store has to tell a node of a change that another node knows
@@ -20,9 +24,11 @@
  */
 public record WatchTiming(
         long fleetIntervalMillis,
+        long minPeriodMillis,
         long minWaitMillis,
         long maxWaitMillis,
         long pauseMillis,
+        long startPauseMillis,
         long answerMillis,
         long patienceMillis,
         long minBackoffMillis,
@@ -35,5 +41,5 @@
      * 260 ms.
      */
     public static final WatchTiming STANDARD =
-            new WatchTiming(500, 1_000, 30_000, 300, 500, 200, 100, 400, 1_600);
+            new WatchTiming(500, 1_000, 100, 30_000, 300, 400, 400, 150, 100, 300, 1_000);
 }
--- a/src/test/java/org/azureshed/watch/WatchModel.java
+++ b/src/test/java/org/azureshed/watch/WatchModel.java
@@ -350,7 +350,7 @@
         if (waitingWatches.remove(call)) {
             if (silence.active()) {
                 silencedCalls.add(call);
-            } else {
+            } else if (!answerWatch(call)) {
                 call.answer(changes(call.number, revision, false), 0);
             }
         }
