Pass on bytes beyond ASCII in a request's target as they came

Cause: refused what Netty's encoder would have changed, since it writes each character beyond ASCII as two bytes. Class of fault: a fault of ours was made the caller's.

--- a/src/main/java/org/azureshed/http/HeadLines.java
+++ b/src/main/java/org/azureshed/http/HeadLines.java
@@ -10,7 +10,7 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?");
     private static final Pattern REQUEST_LINE =
-            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+ [\\x21-\\x7e]+ HTTP/1\\.[01]");
+            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+ [\\x21-\\x7e\\x80-\\xff]+ HTTP/1\\.[01]");
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
     private HeadLines() {}
@@ -26,8 +26,8 @@
     }
 
     /**
-     * Whether a line is a request line. Its target must be in ASCII, as other bytes have no meaning
-     * that all recipients share.
+     * Whether a line is a request line. Its target may have bytes beyond ASCII, which callers send
+     * although URIs have none; they are passed on as they came.
      *
      * @param line the line as received, in ISO 8859-1, without its line end
      * @return true if a request may begin with it
--- a/src/main/java/org/azureshed/traffic/ConnectionPool.java
+++ b/src/main/java/org/azureshed/traffic/ConnectionPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -222,7 +221,7 @@
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
                     .addLast(connection.idleGuard())
-                    .addLast(new HttpRequestEncoder())
+                    .addLast(new RequestEncoder())
                     .addLast(connection.decoder())
                     .addLast(connection);
         }
