Answer 503 for what only a configuration can tell to be too large

Cause: limits that stand in for the unknown ones were treated as the operator's. Class of fault: what is not known is taken for a rule.

Fix: without a configuration such a request gets 503 with Retry-After, as one whose route is not known yet.

--- a/src/main/java/org/azureshed/traffic/EntryHandler.java
+++ b/src/main/java/org/azureshed/traffic/EntryHandler.java
@@ -288,8 +288,13 @@
         refuseWhileReading(reason, "");
     }
 
-    private void refuseWhileReading(RefusalReason reason, String detail) {
+    private void refuseWhileReading(RefusalReason cause, String detail) {
         closing = true;
+        // A node without a configuration does not know what is allowed.
+        RefusalReason reason =
+                ofConfiguredLimit(cause) && service.configuration().isEmpty()
+                        ? RefusalReason.NO_PRESET
+                        : cause;
         service.events()
                 .entryFinished(
                         reason.label(),
@@ -324,6 +329,10 @@
         context.writeAndFlush(response).addListener(done -> endOutput());
     }
 
+    private static boolean ofConfiguredLimit(RefusalReason reason) {
+        return reason == RefusalReason.HEADER_LIMIT || reason == RefusalReason.BODY_LIMIT;
+    }
+
     /** Tells the caller that nothing follows; it closes the connection when it has read that. */
     private void endOutput() {
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
