Use no other idle connection to a server that has not answered a call

Fix: a call that times out closes the idle connections to its server; the next one uses a new connection.

--- a/src/main/java/org/azureshed/traffic/ControlClient.java
+++ b/src/main/java/org/azureshed/traffic/ControlClient.java
@@ -161,6 +161,8 @@
         private void timedOut() {
             if (!ended) {
                 connection.cancel();
+                // Other connections of the same age may be as silent as this one.
+                connections.closeIdle(address);
                 end(new Result.NoResponse("timeout", sent));
             }
         }
