Split the exchange of the configuration from that of the directory

ConfigurationExchange has what nodes tell each other of the configuration, PeerClient sends messages, NodeOrder orders the nodes. No change of logic; StoreWatch tests, whole-node tests of the store's answers, of odd entries and of proper requests pass.

--- a/src/main/java/org/azureshed/sidecar/FleetSync.java
+++ b/src/main/java/org/azureshed/sidecar/FleetSync.java
@@ -4,13 +4,11 @@
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.azureshed.directory.Condition;
 import org.azureshed.directory.Departures;
 import org.azureshed.directory.Directory;
@@ -19,13 +17,10 @@
 import org.azureshed.directory.TargetEntry;
 import org.azureshed.dispatch.SuspectRequests;
 import org.azureshed.json.JsonSlice;
-import org.azureshed.model.Endpoint;
 import org.azureshed.poison.RequestFingerprint;
 import org.azureshed.telemetry.DecisionLog;
 import org.azureshed.telemetry.UnusableEntries;
-import org.azureshed.traffic.ControlClient;
 import org.azureshed.traffic.TrafficEvents;
-import org.azureshed.watch.FleetPosition;
 
 /**
  * Replicates the directory to all nodes. Each node writes its own entry to the store and then lists
@@ -37,7 +32,6 @@
     static final String KIND = "azureshed-nodes";
 
     private static final long GOSSIP_INTERVAL_MILLIS = 1_000;
-    private static final long CALL_TIMEOUT_MILLIS = 700;
 
     /**
      * Fraction of digest exchanges with a node of this node's availability zone, where traffic is
@@ -54,21 +48,13 @@
     /** Two nodes that are set to the same address by mistake would raise each other endlessly. */
     private static final long MIN_RECLAIM_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** Odd factor near 2^32 divided by the golden ratio, for multiplicative hashing. */
-    private static final int SCATTERING_FACTOR = 0x9E3779B9;
-
-    /** Distances, in the order of the nodes, of those that this node tells of a new version. */
-    private static final int[] TOLD_DISTANCES = {1, 2, 8};
-
-    private static final byte[] EMPTY_BODY = {};
-
     private final SidecarSettings settings;
     private final Directory directory;
     private final SuspectRequests suspects;
     private final FleetStore store;
-    private final ControlClient client;
+    private final PeerClient peers;
     private final EventLoop loop;
-    private final ConfigurationHolder configuration;
+    private final ConfigurationExchange configuration;
     private final SplittableRandom random;
     private final DecisionLog log;
     private final PeerMessageCodec codec;
@@ -79,8 +65,6 @@
     private final OwnEntryStore ownStore;
     private Consumer<TargetEntry> onPreviousTarget = entry -> {};
     private Consumer<Departures> onDepartures = departures -> {};
-    private LongConsumer onKnownConfiguration = version -> {};
-    private Runnable onLearnedConfiguration = () -> {};
     private final OwnEntry own;
 
     /** Whether other nodes have not been told of the latest change of this node's entry. */
@@ -95,9 +79,9 @@
             Directory directory,
             SuspectRequests suspects,
             FleetStore store,
-            ControlClient client,
+            PeerClient peers,
             EventLoop loop,
-            ConfigurationHolder configuration,
+            ConfigurationExchange configuration,
             SplittableRandom random,
             PeerMessageCodec codec,
             UnusableEntries unusable,
@@ -107,7 +91,7 @@
         this.directory = directory;
         this.suspects = suspects;
         this.store = store;
-        this.client = client;
+        this.peers = peers;
         this.loop = loop;
         this.configuration = configuration;
         this.random = random;
@@ -161,63 +145,6 @@
         onDepartures = departures;
     }
 
-    /**
-     * Sets the listeners for configurations that other nodes have.
-     *
-     * @param known receives the version that another node knows of
-     * @param learned runs when another node has sent a newer version, which is active now
-     */
-    void onConfigurationElsewhere(LongConsumer known, Runnable learned) {
-        onKnownConfiguration = known;
-        onLearnedConfiguration = learned;
-    }
-
-    /**
-     * Tells a few other nodes that there is a version. They are not neighbours only, so that
-     * several nodes that have gone do not end the chain.
-     *
-     * @param version version of a configuration
-     */
-    void tellConfigurationVersion(long version) {
-        byte[] body = codec.bytes(codec.object().put("config", version));
-        List<NodeEntry> others = othersInOrder();
-        for (int distance : TOLD_DISTANCES) {
-            if (distance <= others.size()) {
-                send(others.get(distance - 1), "/fleet/version", body, ignored -> {});
-            }
-        }
-    }
-
-    /** Place of this node among the known nodes, mixed over the availability zones. */
-    FleetPosition position() {
-        int own = positionKey(settings.node());
-        int before = 0;
-        int others = 0;
-        for (NodeEntry node : directory.nodes()) {
-            if (!isOwn(node)) {
-                others++;
-                before += positionKey(node.name()) < own ? 1 : 0;
-            }
-        }
-        return new FleetPosition(before, others + 1);
-    }
-
-    /** Returns the other known nodes in the order of positions, beginning behind this one. */
-    private List<NodeEntry> othersInOrder() {
-        int own = positionKey(settings.node());
-        return directory.nodes().stream()
-                .filter(node -> !isOwn(node))
-                .sorted(
-                        Comparator.comparingLong(
-                                node -> Integer.toUnsignedLong(positionKey(node.name()) - own)))
-                .toList();
-    }
-
-    /** Orders similar names as if at random. */
-    private static int positionKey(String node) {
-        return node.hashCode() * SCATTERING_FACTOR;
-    }
-
     /** Whether the initial listing of the nodes is complete. */
     boolean listed() {
         return listed;
@@ -285,7 +212,7 @@
         byte[] body = codec.bytes(message(List.of(own.entry())));
         for (NodeEntry node : directory.nodes()) {
             if (!isOwn(node)) {
-                send(node, "/fleet/entries", body, reply -> merge(reply, node.name()));
+                peers.send(node, "/fleet/entries", body, reply -> merge(reply, node.name()));
             }
         }
     }
@@ -403,18 +330,22 @@
 
     private void gossip() {
         loop.schedule(this::gossip, GOSSIP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        List<NodeEntry> peers = peers(random.nextDouble() < LOCAL_GOSSIP_FRACTION);
-        if (peers.isEmpty()) {
+        List<NodeEntry> candidates = candidates(random.nextDouble() < LOCAL_GOSSIP_FRACTION);
+        if (candidates.isEmpty()) {
             return;
         }
-        NodeEntry partner = peers.get(random.nextInt(peers.size()));
+        NodeEntry partner = candidates.get(random.nextInt(candidates.size()));
         ObjectNode digest = codec.object();
         digest.put("digest", directory.digest()).put("config", configuration.version());
-        send(partner, "/fleet/digest", codec.bytes(digest), reply -> onDigestReply(partner, reply));
+        peers.send(
+                partner,
+                "/fleet/digest",
+                codec.bytes(digest),
+                reply -> onDigestReply(partner, reply));
     }
 
     /** Returns the other nodes; those of the zone only if that is asked for and there are any. */
-    private List<NodeEntry> peers(boolean sameZoneOnly) {
+    private List<NodeEntry> candidates(boolean sameZoneOnly) {
         List<NodeEntry> sameZone = new ArrayList<>();
         List<NodeEntry> all = new ArrayList<>();
         for (NodeEntry node : directory.nodes()) {
@@ -433,21 +364,10 @@
             merge(reply, partner.name());
             if (directory.digest() != codec.number(reply, "digest")) {
                 byte[] all = codec.bytes(message(List.copyOf(directory.nodes())));
-                send(partner, "/fleet/entries", all, merged -> merge(merged, partner.name()));
+                peers.send(partner, "/fleet/entries", all, merged -> merge(merged, partner.name()));
             }
         }
-        long partnerVersion = codec.number(reply, "config");
-        if (partnerVersion > configuration.version()) {
-            send(
-                    partner,
-                    "/fleet/configuration",
-                    EMPTY_BODY,
-                    content -> applyConfiguration(content, partner.name()));
-        } else if (partnerVersion < configuration.version()
-                && configuration.content().isPresent()) {
-            byte[] content = codec.bytes(configuration.content().get());
-            send(partner, "/fleet/configuration", content, ignored -> {});
-        }
+        configuration.compare(partner, codec.number(reply, "config"));
     }
 
     /**
@@ -467,18 +387,7 @@
                         Optional.of(
                                 codec.bytes(
                                         digestReply(codec.number(JsonSlice.of(body), "digest"))));
-                case "/fleet/configuration" -> {
-                    if (body.length > 0) {
-                        applyConfiguration(JsonSlice.of(body), "message");
-                    }
-                    yield configuration.content().map(codec::bytes);
-                }
-                case "/fleet/version" -> {
-                    onKnownConfiguration.accept(codec.number(JsonSlice.of(body), "config"));
-                    yield Optional.of(
-                            codec.bytes(codec.object().put("config", configuration.version())));
-                }
-                default -> Optional.empty();
+                default -> configuration.handleMessage(path, body);
             };
         } catch (IOException e) {
             unusable.report(path, "message", e.getMessage());
@@ -486,12 +395,6 @@
         }
     }
 
-    private void applyConfiguration(JsonSlice content, String source) throws IOException {
-        if (configuration.applyIfNewer(content.parse(codec.mapper()), source)) {
-            onLearnedConfiguration.run();
-        }
-    }
-
     /**
      * Merges received entries.
      *
@@ -531,37 +434,4 @@
                         : message(List.copyOf(directory.nodes()));
         return reply.put("digest", directory.digest()).put("config", configuration.version());
     }
-
-    /** Uses the body of a reply; an exception leaves the rest of the reply unused. */
-    private interface ReplyReader {
-        void read(JsonSlice reply) throws IOException;
-    }
-
-    private void send(NodeEntry node, String path, byte[] body, ReplyReader onReply) {
-        client.send(
-                peerAddress(node),
-                "POST",
-                path,
-                body,
-                CALL_TIMEOUT_MILLIS,
-                result -> {
-                    if (result instanceof ControlClient.Result.Response response
-                            && response.status() == 200
-                            && response.body().length > 0) {
-                        try {
-                            onReply.read(JsonSlice.of(response.body()));
-                        } catch (IOException e) {
-                            unusable.report(path, node.name(), e.getMessage());
-                        }
-                    }
-                });
-    }
-
-    /**
-     * Returns the address to which messages to a node are sent. All nodes receive messages on the
-     * same port.
-     */
-    private Endpoint peerAddress(NodeEntry node) {
-        return node.address().withPort(settings.peerListen().port());
-    }
 }
--- a/src/main/java/org/azureshed/sidecar/SidecarNode.java
+++ b/src/main/java/org/azureshed/sidecar/SidecarNode.java
@@ -103,16 +103,9 @@
         SplittableRandom random =
                 new SplittableRandom(incarnation ^ (long) settings.node().hashCode() << 32);
         this.metrics = new SidecarMetrics(log);
-        this.nodeConnections =
-                new ConnectionPool(
-                        loop, CONNECT_TIMEOUT_MILLIS, NODE_IDLE_MILLIS, List.of(), metrics);
+        this.nodeConnections = connections(NODE_IDLE_MILLIS, List.of());
         this.targetConnections =
-                new ConnectionPool(
-                        loop,
-                        CONNECT_TIMEOUT_MILLIS,
-                        TARGET_IDLE_MILLIS,
-                        protocol.names().ofOneTargetAnswer(),
-                        metrics);
+                connections(TARGET_IDLE_MILLIS, protocol.names().ofOneTargetAnswer());
         ControlClient client = new ControlClient(loop, nodeConnections, metrics);
         Directory directory = new Directory();
         SuspectRequests suspects = new SuspectRequests();
@@ -146,6 +139,11 @@
                         metrics);
         UnusableEntries unusable = unusableEntries();
         FleetStore store = protocol.store().apply(client, metrics::storeCall);
+        NodeOrder order = new NodeOrder(directory, settings.node());
+        PeerClient peers = new PeerClient(client, settings.peerListen().port(), unusable);
+        PeerMessageCodec codec = new PeerMessageCodec(unusable);
+        ConfigurationExchange exchange =
+                new ConfigurationExchange(configuration, order, peers, codec);
         this.fleet =
                 new FleetSync(
                         settings,
@@ -153,31 +151,21 @@
                         directory,
                         suspects,
                         store,
-                        client,
+                        peers,
                         loop,
-                        configuration,
+                        exchange,
                         random.split(),
-                        new PeerMessageCodec(unusable),
+                        codec,
                         unusable,
                         metrics,
                         log);
         this.target =
                 new LocalTarget(settings, this::acceptsService, host, fleet, loop, metrics, log);
-        this.watch =
-                new ConfigurationWatch(
-                        store,
-                        loop,
-                        configuration,
-                        fleet::position,
-                        fleet::tellConfigurationVersion,
-                        random.split(),
-                        unusable,
-                        metrics,
-                        log);
+        this.watch = watch(store, order, exchange, random.split(), unusable);
         host.onCrash(fleet::requestCrashedTarget);
         host.onPublishedChange(fleet::targetChanged);
         fleet.onPrevious(target::learn, target::adopt);
-        fleet.onConfigurationElsewhere(watch::knownElsewhere, watch::learnedElsewhere);
+        exchange.onElsewhere(watch::knownElsewhere, watch::learnedElsewhere);
         metrics.observeConfiguration(configuration::version, this::storeAgeMillis);
     }
 
@@ -185,6 +173,28 @@
         return watch.answerAgeMillis();
     }
 
+    private ConfigurationWatch watch(
+            FleetStore store,
+            NodeOrder order,
+            ConfigurationExchange exchange,
+            SplittableRandom random,
+            UnusableEntries unusable) {
+        return new ConfigurationWatch(
+                store,
+                loop,
+                configuration,
+                order::position,
+                exchange::tell,
+                random,
+                unusable,
+                metrics,
+                log);
+    }
+
+    private ConnectionPool connections(long idleMillis, List<String> singleHeaders) {
+        return new ConnectionPool(loop, CONNECT_TIMEOUT_MILLIS, idleMillis, singleHeaders, metrics);
+    }
+
     private RetryBudgetShare retryBudgetShare() {
         return new RetryBudgetShare(
                 settings.retryRatio(),
--- a/src/main/java/org/azureshed/watch/StoreWatch.java
+++ b/src/main/java/org/azureshed/watch/StoreWatch.java
@@ -191,6 +191,7 @@
             }
             case BEFORE_LISTING -> list(nowNanos);
             case BEFORE_WATCH -> watch(position, nowNanos);
+            default -> throw new AssertionError(phase);
         }
     }
 
--- a/src/test/java/org/azureshed/process/SoakRun.java
+++ b/src/test/java/org/azureshed/process/SoakRun.java
@@ -237,7 +237,14 @@
 
     private Void failStore(SoakFault.StoreFailure failure) throws InterruptedException {
         fleet.store().fault(failure.fault());
-        TimeUnit.MILLISECONDS.sleep(failure.millis());
+        if (failure.fault() == StoreStandIn.Fault.SWALLOWED_ANSWERS) {
+            // Waiting watches get an answer, which is lost, only if there is a change.
+            TimeUnit.MILLISECONDS.sleep(failure.millis() / 2);
+            reconfigure();
+            TimeUnit.MILLISECONDS.sleep(failure.millis() / 2);
+        } else {
+            TimeUnit.MILLISECONDS.sleep(failure.millis());
+        }
         fleet.store().fault(StoreStandIn.Fault.NONE);
         return null;
     }
