Count the turns of the watches in the test of store calls after a lost history

The bound counts a listing and a watch per node and dropped history, and a listing of the nodes. Since each node of a small fleet also watches anew once a second, by design (WatchTiming), which the 1.5 s of the test can hold twice per node; the bound left it out. The test counts these turns by the time that passed and is as strict as before on what a dropped history causes.

--- a/src/test/java/org/azureshed/platform/SidecarFleetTest.java
+++ b/src/test/java/org/azureshed/platform/SidecarFleetTest.java
@@ -196,14 +196,16 @@
     void droppedHistoryCausesFewStoreCalls() throws Exception {
         try (SidecarFleet fleet = new SidecarFleet("shop", "shop")) {
             int before = fleet.store.calls();
+            long startNanos = System.nanoTime();
             for (int i = 0; i < 3; i++) {
                 fleet.store.dropHistory();
                 TimeUnit.MILLISECONDS.sleep(500);
             }
             int calls = fleet.store.calls() - before;
             // Per dropped history: a listing and a watch by each node, plus the periodic node
-            // listing.
-            assertTrue(calls <= 2 * (3 * 2 + 1), calls + " calls");
+            // listing. In a small fleet each node's turn to watch anew comes once a second.
+            long turns = 1 + TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startNanos);
+            assertTrue(calls <= 2 * (3 * 2 + 1 + turns), calls + " calls, " + turns + " turns");
         }
     }
 
