Keep the port of HttpObjectStoreTest#refusedConnectionIsNotAnUnknownOutcome

Cause, of the test: it closed the platform and took for granted that nobody listens on its port from then on. Any process may get that port at once; a second run of the same test does so when it starts a platform on a free port. That the other run took it in the failing one is likely, but no log shows it.

Now a socket stays bound to the port without listening, so that connections are refused and nobody else can take it.

--- a/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
+++ b/src/test/java/org/azureshed/platform/HttpObjectStoreTest.java
@@ -7,7 +7,9 @@
 
 import com.sun.net.httpserver.HttpServer;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -117,10 +119,21 @@
         }
     }
 
+    /**
+     * The port stays bound, though nobody listens on it, so that no other process can take it and
+     * accept the connection.
+     */
     @Test
-    void refusedConnectionIsNotAnUnknownOutcome() {
-        platform.close();
-        assertInstanceOf(StoreError.Unavailable.class, store.put(KEY, bytes("a"), 0).getLeft());
+    void refusedConnectionIsNotAnUnknownOutcome() throws IOException {
+        try (Socket bound = new Socket()) {
+            bound.bind(new InetSocketAddress("127.0.0.1", 0));
+            URI uri = URI.create("http://127.0.0.1:" + bound.getLocalPort());
+            try (HttpObjectStore refused =
+                    new HttpObjectStore(uri, Duration.ofMillis(500), Duration.ofMillis(1_000))) {
+                StoreError error = refused.put(KEY, bytes("a"), 0).getLeft();
+                assertInstanceOf(StoreError.Unavailable.class, error);
+            }
+        }
     }
 
     @ParameterizedTest
