--- a/src/test/java/org/azureshed/simulation/Action.java
+++ b/src/test/java/org/azureshed/simulation/Action.java
@@ -53,6 +53,9 @@
     /** The callers of a node send their requests in small parts. */
     record CallersTrickle(int node, int partBytes, long millis) implements Action {}
 
+    /** The callers of a node read answers late. */
+    record CallersReadLate(int node, long lateMillis, long millis) implements Action {}
+
     /** How a target leaves. */
     enum Leaving {
         /** Reports draining, serves on, and deregisters. */
@@ -89,6 +92,8 @@
         TWICE,
         /** Runs the request and answers once more before the next answer. */
         AGAIN_LATER,
+        /** Runs the request, answers, and sends the beginning of the answer again soon after. */
+        PART_AGAIN_LATER,
         /** Runs the request and answers with a first line that is no status line. */
         ODD_LINE,
         /** Runs the request and answers when the caller has left. */
--- a/src/test/java/org/azureshed/simulation/CallerParty.java
+++ b/src/test/java/org/azureshed/simulation/CallerParty.java
@@ -32,6 +32,7 @@
     private final List<Connection> connections = new ArrayList<>();
     private int requests;
     private long leaveAfterMillis = Long.MAX_VALUE;
+    private long readLateMillis;
     private int partBytes = Integer.MAX_VALUE;
     private boolean stopped;
 
@@ -72,6 +73,11 @@
         time.afterMillis(forMillis, () -> partBytes = Integer.MAX_VALUE);
     }
 
+    void readLate(long millis, long forMillis) {
+        readLateMillis = millis;
+        time.afterMillis(forMillis, () -> readLateMillis = 0);
+    }
+
     private void send() {
         Journal.Sent request = next();
         for (Connection connection : connections) {
@@ -197,6 +203,17 @@
 
         @Override
         public void readable() {
+            if (readLateMillis == 0) {
+                read();
+            } else {
+                time.afterMillis(readLateMillis, this::read);
+            }
+        }
+
+        private void read() {
+            if (end.isClosed()) {
+                return;
+            }
             for (byte[] bytes = end.read(); bytes != null; bytes = end.read()) {
                 if (current == null) {
                     journal.violation("MIXED", "bytes with no request waiting, node " + node);
--- a/src/test/java/org/azureshed/simulation/FleetSimulation.java
+++ b/src/test/java/org/azureshed/simulation/FleetSimulation.java
@@ -281,6 +281,8 @@
                     hosts.get(trickle.node())
                             .callers
                             .trickle(trickle.partBytes(), trickle.millis());
+            case Action.CallersReadLate late ->
+                    hosts.get(late.node()).callers.readLate(late.lateMillis(), late.millis());
         }
     }
 
--- a/src/test/java/org/azureshed/simulation/Schedule.java
+++ b/src/test/java/org/azureshed/simulation/Schedule.java
@@ -47,7 +47,8 @@
         LATE_HEARTBEAT,
         CHANGE_SERVICE,
         CALLERS_LEAVE,
-        CALLERS_TRICKLE
+        CALLERS_TRICKLE,
+        CALLERS_READ_LATE
     }
 
     /**
@@ -86,7 +87,8 @@
                             Kind.CUT,
                             Kind.CHANGE_SERVICE,
                             Kind.CALLERS_LEAVE,
-                            Kind.CALLERS_TRICKLE));
+                            Kind.CALLERS_TRICKLE,
+                            Kind.CALLERS_READ_LATE));
 
     /**
      * Something that happens.
@@ -155,6 +157,8 @@
             case CALLERS_LEAVE -> new Action.CallersLeave(node, random.nextLong(1, 60), longMillis);
             case CALLERS_TRICKLE ->
                     new Action.CallersTrickle(node, random.nextInt(1, 400), longMillis);
+            case CALLERS_READ_LATE ->
+                    new Action.CallersReadLate(node, random.nextLong(1, 200), longMillis);
         };
     }
 
--- a/src/test/java/org/azureshed/simulation/TargetConnection.java
+++ b/src/test/java/org/azureshed/simulation/TargetConnection.java
@@ -4,7 +4,6 @@
 
 /** A connection of a target, with its ways to answer. */
 final class TargetConnection implements ConnectionEnd.Listener {
-    private static final String NOT_EXECUTED = "X-Azureshed-Not-Executed: 1\r\n";
     private static final List<String> ODD_LINES =
             List.of("HTTP/1.1 1000 X", "HTTP/1.1 99 X", "HTTP/1.1 0200 X", "HTTP/2.0 200 X", "OK");
 
@@ -23,6 +22,9 @@
     /** One in some requests takes longer. */
     private static final int LONG_WORK_ONE_IN = 8;
 
+    /** Longest time from an answer to a copy of its beginning. */
+    private static final long MAX_COPY_MILLIS = 60;
+
     /** Longer than the timeouts of some routes. */
     private static final long SLOW_MILLIS = 3_000;
 
@@ -30,6 +32,9 @@
     private final ConnectionEnd end;
     private final HttpReader reader;
     private String copyBeforeNext = "";
+    private String copyAfterAnswer = "";
+    private int requests;
+    private int answers;
     private boolean answeredEarly;
 
     TargetConnection(TargetParty target, ConnectionEnd end) {
@@ -62,7 +67,9 @@
                 && target.nextAnswering() == Action.Answering.EARLY_UNFRAMED_RESET) {
             answeredEarly = true;
             Journal.Run run = target.run(head, 200, false);
-            write(unframed(run).substring(0, unframed(run).length() / 2));
+            write(
+                    TargetAnswers.unframed(run)
+                            .substring(0, TargetAnswers.unframed(run).length() / 2));
             target.time().afterMillis(20, end::abort);
         }
     }
@@ -73,20 +80,21 @@
     }
 
     private void handle(HttpReader.Message request) {
+        requests++;
         if (answeredEarly) {
             return;
         }
         if (misdirected(request)) {
-            write(HttpText.response(421, NOT_EXECUTED, ""));
+            write(HttpText.response(421, TargetAnswers.NOT_EXECUTED, ""));
             return;
         }
         if (request.requestId().isEmpty()) {
-            write(HttpText.response(400, NOT_EXECUTED, ""));
+            write(HttpText.response(400, TargetAnswers.NOT_EXECUTED, ""));
             return;
         }
         Action.Answering answering = target.nextAnswering();
         if (answering == null) {
-            later(request, whole(target.run(request, 200, true)));
+            later(request, TargetAnswers.whole(target.run(request, 200, true)));
         } else {
             answer(request, answering);
         }
@@ -94,29 +102,36 @@
 
     private void answer(HttpReader.Message request, Action.Answering answering) {
         switch (answering) {
-            case SHED -> later(request, shed(request));
-            case SHED_TWICE -> later(request, shed(request) + shed(request));
+            case SHED -> later(request, TargetAnswers.shed(request));
+            case SHED_TWICE ->
+                    later(request, TargetAnswers.shed(request) + TargetAnswers.shed(request));
             case SHED_AGAIN_LATER -> {
-                later(request, shed(request));
-                copyBeforeNext = shed(request);
+                later(request, TargetAnswers.shed(request));
+                copyBeforeNext = TargetAnswers.shed(request);
             }
-            case FAIL -> later(request, whole(target.run(request, 500, true)));
+            case FAIL -> later(request, TargetAnswers.whole(target.run(request, 500, true)));
             case TWICE -> {
-                String answer = whole(target.run(request, 200, true));
+                String answer = TargetAnswers.whole(target.run(request, 200, true));
                 later(request, answer + answer);
             }
             case AGAIN_LATER -> {
-                String answer = whole(target.run(request, 200, true));
+                String answer = TargetAnswers.whole(target.run(request, 200, true));
                 later(request, answer);
                 copyBeforeNext = answer;
             }
+            case PART_AGAIN_LATER -> {
+                String answer = TargetAnswers.whole(target.run(request, 200, true));
+                int part = target.random().nextInt(answer.length());
+                later(request, answer);
+                copyAfterAnswer = answer.substring(0, part);
+            }
             case SLOW -> {
                 Journal.Run run = target.run(request, 200, false);
-                target.time().afterMillis(SLOW_MILLIS, () -> write(whole(run)));
+                target.time().afterMillis(SLOW_MILLIS, () -> write(TargetAnswers.whole(run)));
             }
             case ODD_LINE -> {
                 Journal.Run run = target.run(request, 0, false);
-                String framed = whole(run);
+                String framed = TargetAnswers.whole(run);
                 String line = ODD_LINES.get(run.number() % ODD_LINES.size());
                 later(request, line + framed.substring(framed.indexOf("\r\n")));
             }
@@ -127,15 +142,17 @@
     /** Runs a request and ends the connection, with or without a whole answer before that. */
     private void breakOff(HttpReader.Message request, Action.Answering answering) {
         Journal.Run run = target.run(request, 200, answering == Action.Answering.UNFRAMED);
-        String framed = whole(run);
+        String framed = TargetAnswers.whole(run);
         String head = framed.substring(0, framed.indexOf("\r\n\r\n"));
         switch (answering) {
             case RESET -> end.abort();
             case CUT_HEAD -> writeAndClose(head.substring(0, (int) (head.length() * CUT_SHARE)));
             case CUT_BODY -> writeAndClose(framed.substring(0, framed.length() - 3));
-            case UNFRAMED -> writeAndClose(unframed(run));
+            case UNFRAMED -> writeAndClose(TargetAnswers.unframed(run));
             case UNFRAMED_RESET, EARLY_UNFRAMED_RESET -> {
-                write(unframed(run).substring(0, unframed(run).length() - 3));
+                write(
+                        TargetAnswers.unframed(run)
+                                .substring(0, TargetAnswers.unframed(run).length() - 3));
                 target.time().afterMillis(5, end::abort);
             }
             default -> {
@@ -148,7 +165,29 @@
     private void later(HttpReader.Message request, String text) {
         String bytes = copyBeforeNext + text;
         copyBeforeNext = "";
-        target.time().afterMillis(workMillis(request), () -> write(bytes));
+        target.time().afterMillis(workMillis(request), () -> finish(bytes));
+    }
+
+    private void finish(String answer) {
+        write(answer);
+        String copy = copyAfterAnswer;
+        copyAfterAnswer = "";
+        if (!copy.isEmpty()) {
+            target.time().afterMillis(target.random().nextLong(MAX_COPY_MILLIS), () -> write(copy));
+        }
+        if (answer.contains(TargetAnswers.CLOSE)) {
+            end.close();
+        }
+        answers++;
+        int answered = answers;
+        target.time()
+                .afterMillis(
+                        TargetAnswers.KEEP_ALIVE_MILLIS,
+                        () -> {
+                            if (answered == answers && requests == answers) {
+                                end.close();
+                            }
+                        });
     }
 
     private long workMillis(HttpReader.Message request) {
@@ -169,24 +208,4 @@
         write(text);
         end.close();
     }
-
-    private static String shed(HttpReader.Message request) {
-        return HttpText.response(503, echo(request) + NOT_EXECUTED, "");
-    }
-
-    private static String whole(Journal.Run run) {
-        return HttpText.response(run.status(), echo(run.request()) + signature(run), run.body());
-    }
-
-    private static String unframed(Journal.Run run) {
-        return "HTTP/1.1 200 X\r\n" + echo(run.request()) + signature(run) + "\r\n" + run.body();
-    }
-
-    private static String echo(HttpReader.Message request) {
-        return "X-Azureshed-Request-Id: " + request.requestId() + "\r\n";
-    }
-
-    private static String signature(Journal.Run run) {
-        return "X-Azureshed-Response-Signature: " + run.number() + "\r\n";
-    }
 }
--- a/src/test/java/org/azureshed/simulation/TargetParty.java
+++ b/src/test/java/org/azureshed/simulation/TargetParty.java
@@ -273,14 +273,7 @@
     /** Records that a request begins to run and returns the run. */
     Journal.Run run(HttpReader.Message request, int status, boolean sound) {
         int number = journal.runCount();
-        String body =
-                status == 200
-                        ? "answer "
-                                + number
-                                + " to "
-                                + request.requestId()
-                                + ".".repeat(number % 3000)
-                        : "";
+        String body = status == 200 ? TargetAnswers.body(number, request.requestId()) : "";
         Journal.Run run =
                 new Journal.Run(
                         name(), node, service, number, request, status, body, sound, time.millis());
