Do not report the buffers of killed simulated processes as leaks

A killed process releases nothing, and Netty's leak detector writes an error for each buffer that it sees collected. The detector is off while schedules are played and has its former level afterwards.

--- a/src/test/java/org/azureshed/simulation/FleetSimulationTest.java
+++ b/src/test/java/org/azureshed/simulation/FleetSimulationTest.java
@@ -5,12 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.fail;
 
+import io.netty.util.ResourceLeakDetector;
 import java.io.InputStream;
 import java.lang.reflect.Constructor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,15 +31,24 @@
     private static final long SECONDS = Long.getLong("simulation.seconds", Long.MAX_VALUE);
 
     private static Constructor<?> nodes;
+    private static ResourceLeakDetector.Level formerLevel;
 
     @BeforeAll
     static void loadNodes() throws ReflectiveOperationException {
+        // A killed process releases nothing.
+        formerLevel = ResourceLeakDetector.getLevel();
+        ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.DISABLED);
         nodes =
                 new NodeClassLoader()
                         .loadClass("org.azureshed.platform.SimulatedNode")
                         .getConstructor(NodeUnderTest.Settings.class, AtomicReference.class);
     }
 
+    @AfterAll
+    static void restoreLeakDetection() {
+        ResourceLeakDetector.setLevel(formerLevel);
+    }
+
     private static List<Journal.Violation> violations(Schedule schedule) {
         return new FleetSimulation(nodes, schedule).play().violations();
     }
